--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -40,7 +40,7 @@
 from fawngw.node.callers import Ask, Callers, Exchange
 from fawngw.node.config import Config
 from fawngw.node.discovery import Discovery, Listing
-from fawngw.node.http import CONTENT_TYPE, Message, request_head
+from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, request_head
 from fawngw.node.servers import Call, Servers
 
 log = logging.getLogger(__name__)
@@ -254,6 +254,16 @@
     def _finish(self, request: RequestId, status: int, body: bytes = b"", extra: bytes = b"") -> None:
         pending = self._close(request)
         if pending is not None:
+            if status != 200:
+                headers = pending.message.headers
+                log.info(
+                    "request %s (%s) answered %d after %d attempts, %.0f ms of its time left",
+                    headers[REQUEST_ID].decode(errors="replace"),
+                    headers[CLASS].decode(errors="replace"),
+                    status,
+                    pending.attempts,
+                    pending.deadline - self._clock.now(),
+                )
             pending.exchange.answer(status, body, extra)
 
     def _gone(self, request: RequestId) -> None:
@@ -295,9 +305,20 @@
             return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, seconds, body)
 
         def done(outcome: Outcome, answer: Message | None) -> None:
+            if outcome is not Outcome.OK:
+                log.info(
+                    "request %s attempt %d to %s: %s after %.0f ms, %s",
+                    pending.message.headers[REQUEST_ID].decode(errors="replace"),
+                    number,
+                    server.decode(errors="replace"),
+                    outcome.value,
+                    self._clock.now() - sent,
+                    call.path,
+                )
             self._ended(request, number, server, sent, outcome, answer)
 
-        self._calls[request, number] = self._servers.call(server, render, timeout / 1000.0, done)
+        call = self._servers.call(server, render, timeout / 1000.0, done)
+        self._calls[request, number] = call
 
     def _ended(
         self,
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -28,7 +28,7 @@
 class Call:
     """One request to a server: an attempt or a probe.  It ends once, with one outcome."""
 
-    __slots__ = ("_done", "_loop", "_timer", "connection", "deadline", "ended", "render", "written")
+    __slots__ = ("_done", "_loop", "_timer", "connection", "deadline", "ended", "path", "render", "written")
 
     def __init__(self, render: Render, timeout_s: float, done: Done) -> None:
         self._loop = asyncio.get_running_loop()
@@ -36,6 +36,7 @@
         self.deadline = self._loop.time() + timeout_s
         self.connection: Connection | None = None
         self.written = False
+        self.path = "not written"  # which connection it went out on, for the log
         self.ended = False
         self._done = done
         self._timer = self._loop.call_later(timeout_s, self._time_out)
@@ -66,6 +67,7 @@
     def __init__(self, peer: Peer, servers: Servers) -> None:
         self.peer = peer
         self.idle_since = 0.0
+        self._carried = 0  # calls so far
         self._servers = servers
         self._call: Call | None = None
         self._reader = Reader(self._on_answer, requests=False)
@@ -81,10 +83,17 @@
     def carry(self, call: Call) -> None:
         """Write the call's request; from here on it may have run."""
         assert self._transport is not None
+        now = asyncio.get_running_loop().time()
         self._call = call
         call.connection = self
         call.written = True
-        self._transport.write(call.render(call.deadline - asyncio.get_running_loop().time()))
+        call.path = (
+            f"on a connection idle for {1000.0 * (now - self.idle_since):.0f} ms after {self._carried} calls"
+            if self._carried
+            else "on a new connection"
+        )
+        self._carried += 1
+        self._transport.write(call.render(call.deadline - now))
 
     def abandon(self) -> None:
         """Close at once; what still comes in is not read."""
