--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -299,16 +299,16 @@
             return
         timeout = min(action.timeout_ms, left) if action.timeout_ms > 0 else left
         sent = self._clock.now()
-        head, body = pending.head, pending.message.body
+        head, message = pending.head, pending.message
 
         def render(seconds: float) -> bytes:
-            return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, seconds, body)
+            return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, seconds, message.body)
 
         def done(outcome: Outcome, answer: Message | None) -> None:
             if outcome is not Outcome.OK:
                 log.info(
                     "request %s attempt %d to %s: %s after %.0f ms, %s",
-                    pending.message.headers[REQUEST_ID].decode(errors="replace"),
+                    message.headers[REQUEST_ID].decode(errors="replace"),
                     number,
                     server.decode(errors="replace"),
                     outcome.value,
