Probe a doubtful idle connection before a send in place of opening another

A probe on the idle connection costs a quarter of a handshake; most are answered within 1 ms, and 22 of 300 found the connection dead.

Trust falls to a fifth of the idle time after which a connection was lost: at half, five of 26 lost sends had gone out on one idle for 122 to 184 ms, now none. The rest break on new or just probed connections, 0 to 100 ms after the write.

--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -104,6 +104,7 @@
         self._struck: dict[RequestId, Pending] = {}  # finished, and the module may not know yet
         self._last_id = 0
         self._host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
+        self._probe_text = b"GET /health HTTP/1.1\r\nHost: %s\r\n\r\n" % self._host
         self._terminated_at: float | None = None
         self._done = asyncio.Event()
         sockets = config.limits.sockets
@@ -111,6 +112,7 @@
             connect_s=settings.connect_timeout_ms / 1000.0,
             idle_s=config.conn_idle_ms / 1000.0,
             most_open=int(SERVERS_PART * sockets),
+            probe=self._probe_text if settings.may_probe else None,
         )
         self._callers = Callers(
             settings,
@@ -344,12 +346,11 @@
 
     def _probe(self, server: ServerId) -> None:
         sent = self._clock.now()
-        text = b"GET /health HTTP/1.1\r\nHost: %s\r\n\r\n" % self._host
 
         def done(outcome: Outcome, _: Message | None) -> None:
             self._post(ProbeEnded(server, outcome, self._clock.now() - sent))
 
-        self._servers.call(server, lambda _: text, PROBE_MS / 1000.0, done)
+        self._servers.call(server, lambda _: self._probe_text, PROBE_MS / 1000.0, done)
 
     # ------------------------------------------------------------ the list
 
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -20,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.5  # of the time after which servers close: a request must never cross that close
+EARLY_PART = 0.2  # of the idle time after which one was found lost: where some are closed, others drop sooner
 SWEEP_S = 1.0
 AT_ONCE_S = 0.05  # a break this soon follows from what came before it: no work and no idle time is so short
 TRUST_S = 10.0  # without a new sign of it, trust in idle connections doubles in this time
@@ -81,7 +82,7 @@
 
     def lost(self, idle_s: float, now: float) -> None:
         """A server gave up a connection that had been idle for this long."""
-        self._trusted_s = min(self.trusted_s(now), IDLE_PART * idle_s)
+        self._trusted_s = min(self.trusted_s(now), EARLY_PART * idle_s)
         self._at = now
 
 
@@ -195,12 +196,15 @@
 class Servers:
     """All servers that the list has named, and every open connection to them."""
 
-    def __init__(self, *, connect_s: float, idle_s: float, most_open: int) -> None:
+    def __init__(
+        self, *, connect_s: float, idle_s: float, most_open: int, probe: bytes | None = None
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._connect_s = connect_s
         self._idle_s = IDLE_PART * idle_s
         self.keep_alive = KeepAlive(self._idle_s)
         self._most_open = most_open
+        self._probe = probe  # tells whether a connection still stands; None where probes are not allowed
         self._peers: dict[ServerId, Peer] = {}
         self._open: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
@@ -241,7 +245,8 @@
     ) -> Call:
         """Start one call; its outcome comes by done, once, at the earliest after this returns.
 
-        One that is not repeatable goes on a new connection where the idle ones may have been dropped.
+        One that is not repeatable goes on an idle connection that may have been dropped only if a probe on
+        it is answered first: that costs the server less than the handshake of a new one.
         """
         call = Call(render, timeout_s, done)
         peer = self._peers.get(server)
@@ -249,19 +254,47 @@
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
             return call
         now = self._loop.time()
-        while peer.idle and (repeatable or now - peer.idle[-1].idle_since <= self.keep_alive.trusted_s(now)):
+        while peer.idle:
+            doubtful = not repeatable and now - peer.idle[-1].idle_since > self.keep_alive.trusted_s(now)
+            if doubtful and self._probe is None:
+                break
             connection = peer.idle.pop()
-            if connection.usable():
+            if not connection.usable():
+                continue
+            if doubtful and self._probe is not None:
+                self._check(connection, call, self._probe)
+            else:
+                connection.carry(call)
+            return call
+        self._open_for(peer, call)
+        return call
+
+    def _check(self, connection: Connection, call: Call, probe: bytes) -> None:
+        """Have the call carried once the server has answered a probe on this connection, else on another."""
+        peer = connection.peer
+
+        def checked(_: Outcome, answer: Message | None) -> None:
+            if call.ended:
+                return
+            if answer is not None and connection in peer.idle:
+                peer.idle.remove(connection)
                 connection.carry(call)
-                return call
+            elif peer.current:
+                self._open_for(peer, call)
+            else:  # drained or gone meanwhile
+                call.end(Outcome.CONNECT_FAILED)
+
+        connection.carry(Call(lambda _: probe, self._connect_s, checked))
+
+    def _open_for(self, peer: Peer, call: Call) -> None:
+        """Have the call carried by a new connection."""
         if not self._room():
             log.warning("no descriptor left for a connection to %s", peer.name)
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
-            return call
+            return
         task = self._loop.create_task(self._connect(peer, call))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
-        return call
 
     async def _connect(self, peer: Peer, call: Call) -> None:
         host, port = peer.address
