Stay up on SIGHUP and watch discovery at the address the new configuration names

SIGHUP had no handler. Discovery is now watched at the new address from the last version on; a file that cannot be read leaves it where it was. Ruled out: an exception of the node's own (no traceback in its log).

--- a/fawngw/node/config.py
+++ b/fawngw/node/config.py
@@ -44,11 +44,13 @@
     naming: Naming
     known: Listing | None
     conn_idle_ms: float
+    path: str  # of the file, which the platform may replace while the node runs
 
 
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration of this process."""
-    raw = _read_file(_variable(environment, "NODE_CONFIG"))
+    path = _variable(environment, "NODE_CONFIG")
+    raw = _read_file(path)
     settings_raw = _member(raw, "settings", dict)
     values = dict(flat(settings_raw))
     try:
@@ -67,9 +69,15 @@
         naming=naming,
         known=_known(raw.get("known"), naming),
         conn_idle_ms=_conn_idle(values),
+        path=path,
     )
 
 
+def read_discovery(path: str) -> tuple[str, int]:
+    """Discovery's address in a configuration file that was replaced; the environment has only the first."""
+    return _address({}, _read_file(path), "discovery", "discovery")
+
+
 def _variable(environment: Mapping[str, str], name: str) -> str:
     value = environment.get(name, "")
     if not value:
--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -174,6 +174,12 @@
         self.close()
         self._call = self._loop.create_task(self._open())
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery has another address: go on there from the last version, if the old one was watched."""
+        self._address = address
+        if self._pushed or self._watch is not None:
+            self.subscribe()
+
     def close(self) -> None:
         """Drop the watch without a word."""
         watch, self._watch = self._watch, None
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -39,7 +39,7 @@
     TimerFired,
 )
 from fawngw.node.callers import Ask, Callers, Exchange
-from fawngw.node.config import Config
+from fawngw.node.config import Config, ConfigError, read_discovery
 from fawngw.node.discovery import Discovery, Listing
 from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, request_head
 from fawngw.node.servers import Call, Servers
@@ -134,6 +134,7 @@
         """Listen; returns the address that was bound."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.terminate)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reconfigure)
         known = self._config.known
         if known is not None:
             self._servers.update(known)
@@ -354,6 +355,16 @@
 
     # ------------------------------------------------------------ the list
 
+    def reconfigure(self) -> None:
+        """SIGHUP: the configuration file was replaced, and discovery may have moved."""
+        try:
+            address = read_discovery(self._config.path)
+        except ConfigError as error:
+            log.error("the new configuration cannot be used, discovery stays where it was: %s", error)
+            return
+        log.info("discovery is at %s:%d now", *address)
+        self._discovery.move(address)
+
     def _on_list(self, listing: Listing) -> None:
         self._servers.update(listing)
         self._post(listing.event())
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -309,7 +309,7 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    *rows: dict[str, Any], sockets: int = 256, known: bool = True, **changes: Any
+    *rows: dict[str, Any], sockets: int = 256, known: bool = True, path: str = "", **changes: Any
 ) -> AsyncIterator[World]:
     """A node that knows these servers; changes go into its settings."""
     naming = Naming(("hall",), ("std",))
@@ -325,6 +325,7 @@
             naming=naming,
             known=naming.read(listing(1, *rows)) if known else None,
             conn_idle_ms=30_000.0,
+            path=path,
         )
         node = Node(config)
         address = await node.start()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from pathlib import Path
 
 import pytest
 
@@ -10,7 +12,9 @@
 from tests.stubs import (
     HOST,
     PATIENCE_S,
+    StubDiscovery,
     StubServer,
+    World,
     held,
     listing,
     raw,
@@ -287,6 +291,59 @@
     run(main())
 
 
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+def test_discovery_that_has_moved_is_watched_at_its_new_address(tmp_path: Path, mode: str) -> None:
+    async def main() -> None:
+        path = tmp_path / "config.json"
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            StubDiscovery() as new,
+            world(known=False, registryMode=mode, path=str(path)) as w,
+        ):
+            if mode == "on_request":
+                w.node._discovery.subscribe()
+            watch = await w.discovery.watch()
+            events = _record(w.node._balancer)
+            tell(watch, listing(7, row("a", server.address)))
+            while not events:
+                await asyncio.sleep(0)
+            path.write_text(json.dumps({"discovery": new.address}))
+            w.node.reconfigure()
+            watch = await new.watch()
+            assert new.targets == ["/v1/endpoints?watch=1&from=7"]
+            tell(watch, listing(8, row("a", server.address, "DRAINING"), reset=False))
+            await asyncio.wait_for(_no_server(w), PATIENCE_S)
+
+    run(main())
+
+
+async def _no_server(w: World) -> None:
+    caller = await w.caller()
+    while (await caller.ask(target="/ready")).status != 503:
+        pass
+
+
+@pytest.mark.parametrize("text", ["{nonsense", "{}", '{"discovery": "nowhere"}'])
+def test_a_configuration_that_cannot_be_read_anew_leaves_discovery_where_it_was(
+    tmp_path: Path, text: str
+) -> None:
+    async def main() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(text)
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(known=False, registryMode="pushed", path=str(path)) as w,
+        ):
+            watch = await w.discovery.watch()
+            w.node.reconfigure()
+            tell(watch, listing(7, row("a", server.address)))
+            caller = await w.caller()
+            while (await caller.ask(target="/ready")).status != 200:
+                pass
+
+    run(main())
+
+
 @pytest.mark.parametrize(
     ("bad", "status"),
     [
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -38,7 +38,7 @@
     )
 
 
-def test_run_serves_a_request_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
+def test_run_serves_a_request_lives_through_sighup_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
             config = tmp_path / "config.json"
@@ -46,7 +46,7 @@
                 "seed": "1",
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                 "known": listing(1, row("a", server.address)),
-                "settings": settings(),
+                "settings": settings(registryMode="pushed"),
             }
             config.write_text(json.dumps(raw))
             process = await _start(
@@ -64,6 +64,11 @@
             caller = await Caller.connect((found[1], int(found[2])))
             assert (await caller.ask(target="/ready")).status == 200
             assert (await caller.ask("look")).body == b"served"
+            async with StubDiscovery() as moved:
+                config.write_text(json.dumps({**raw, "discovery": moved.address}))
+                process.send_signal(signal.SIGHUP)
+                await moved.watch()
+                assert (await caller.ask("look")).body == b"served"
             process.send_signal(signal.SIGTERM)
             _, log = await asyncio.wait_for(process.communicate(), PATIENCE_S)
             assert process.returncode == 0, log.decode()
