End a call only when the whole piece that its answer came in has been read

A server's surplus behind an answer came in one piece with it; the end of the call sent a waiting request out on that connection while the rest was still to be parsed, and the surplus became its answer. Ruled out: surplus in a later piece, which already closed the connection.

--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -92,6 +92,8 @@
     def __init__(self, peer: Peer, servers: Servers) -> None:
         self.peer = peer
         self.idle_since = 0.0
+        self._answer: Message | None = None
+        self._spoiled = False  # more came in than was asked for: it carries no further call
         self._carried = 0  # calls so far
         self._idled_s = 0.0  # before the present call
         self._carried_at = 0.0
@@ -138,18 +140,19 @@
             self._reader.feed(data)
         except MessageError as error:
             log.warning("server %s: %s", self.peer.name, error)
-            self._break()
+            self._spoiled = True
+        self._conclude()
 
     def eof_received(self) -> bool:
         self._reader.finish()
+        if self._answer is not None:
+            self._conclude()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         now = asyncio.get_running_loop().time()
         if self in self.peer.idle:
-            if (
-                now - self.idle_since > AT_ONCE_S
-            ):  # sooner it was given up with the answer, not for being idle
+            if now - self.idle_since > AT_ONCE_S:  # else given up with the answer, not for being idle
                 self._servers.keep_alive.lost(now - self.idle_since, now)
         elif self._call is not None and self._carried > 1 and now - self._carried_at < AT_ONCE_S:
             self._servers.keep_alive.lost(self._idled_s, now)
@@ -163,15 +166,29 @@
             call.end(Outcome.RESET)
 
     def _on_answer(self, message: Message) -> None:
-        call, self._call = self._call, None
-        if call is None:
-            self.abandon()
+        if self._answer is None:
+            self._answer = message
+        else:
+            self._spoiled = True
+
+    def _conclude(self) -> None:
+        """End the call once all that came in is read.
+
+        Not while it is being read: whatever follows an answer in the same piece would meet the next request,
+        which may be written to this connection as soon as the call has ended.
+        """
+        answer, call = self._answer, self._call
+        if answer is None:
+            if self._spoiled:
+                self._break()
             return
-        if message.keep_alive and self.usable():
+        self._answer = self._call = None
+        if answer.keep_alive and not self._spoiled and not self._reader.within and self.usable():
             self._servers.rest(self)
         else:
             self.abandon()
-        call.end(_outcome(message), message)
+        if call is not None:
+            call.end(_outcome(answer), answer)
 
 
 def _outcome(message: Message) -> Outcome:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -196,6 +196,25 @@
     run(main())
 
 
+@pytest.mark.parametrize(
+    "surplus", [b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1", b"HTTP/1.1 200 OK\r\nConte"]
+)
+def test_what_follows_an_answer_in_one_piece_meets_no_call_that_its_end_brings(surplus: bytes) -> None:
+    """Guards against serving a request with a server's surplus: a waiting call went out on the connection
+    while the rest of the piece was still to be read."""
+
+    async def main() -> None:
+        twice = raw(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1" + surplus)
+        async with StubServer([twice, reply("200 OK", b"2")]) as server, attempts(server.address) as a:
+            following: list[asyncio.Future[tuple[Outcome, bytes]]] = []
+            a.servers.call(b"a", lambda _: REQUEST, PATIENCE_S, lambda *_: following.append(a.begin()[1]))
+            while not following:
+                await asyncio.sleep(0)
+            assert await following[0] == (Outcome.OK, b"2")
+
+    run(main())
+
+
 def test_idle_connections_close_well_before_the_server_would() -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, attempts(server.address, idle_s=0.0) as a:
