--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -31,8 +31,9 @@
 MOST_PIPELINED = 2  # requests that a connection may have open; beyond that it is read no further
 LONGEST_DEADLINE_S = 3600.0
 HINT_MOST_US = 1e9
-STALLED_S = 30.0  # for a request to come in whole, or a caller to read its answer
-SWEEP_S = 1.0
+FIRST_S = 2.0  # after connecting, for the first request to come in whole: silent peers hold descriptors
+STALLED_S = 6.0  # for a later one, or for a caller to read its answer
+SWEEP_S = 0.25
 LINGER_S = 1.0  # after an early answer what still comes in is read away, else a reset could overtake it
 FULL_RETRY_S = 0.5
 
@@ -79,6 +80,8 @@
 
     def __init__(self, callers: Callers) -> None:
         self.callers = callers
+        self.opened_at = 0.0
+        self.used = False  # a whole request has come
         self.since = 0.0  # when it last became idle, began a request or stopped reading
         self._reader = Reader(self._on_request, requests=True)
         self._transport: asyncio.Transport | None = None
@@ -88,7 +91,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
-        self.since = self.callers.now()
+        self.opened_at = self.since = self.callers.now()
         self.callers.opened(self)
 
     def idle(self) -> bool:
@@ -103,8 +106,20 @@
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
         return unsent or bool(self._exchanges) or (self._reader.within and not self._deaf)
 
-    def stalled(self) -> bool:
-        return self._choked or (self._reader.within and not self._exchanges)
+    def stalled(self, now: float) -> bool:
+        """Whether what must come, a request or the reading of an answer, has taken too long."""
+        if not self.used and not self._deaf:
+            return now - self.opened_at > FIRST_S
+        return now - self.since > STALLED_S and (
+            self._choked or (self._reader.within and not self._exchanges)
+        )
+
+    def give_up(self) -> None:
+        """Waiting is over: an error for a part of a request, else just the end."""
+        if self._reader.within and not self._exchanges and not self._deaf:
+            self._answer_early(408)
+        else:
+            self.drop()
 
     def data_received(self, data: bytes) -> None:
         if self._deaf:
@@ -120,6 +135,7 @@
             self._answer_early(500)
 
     def _on_request(self, message: Message) -> None:
+        self.used = True
         exchange = Exchange(self, not message.keep_alive)
         self._exchanges.append(exchange)
         self._pace()
@@ -271,9 +287,9 @@
 
     def _sweep(self) -> None:
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
-        before = self.now() - STALLED_S
-        for connection in [c for c in self._open if c.stalled() and c.since < before]:
-            connection.drop()
+        now = self.now()
+        for connection in [c for c in self._open if c.stalled(now)]:
+            connection.give_up()
 
     def wind_down(self) -> None:
         """From now on every answer closes its connection, and idle ones are closed at once."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 import pytest
 
 from fawngw.interface import Action, Event, RequestGone
+from fawngw.node.callers import FIRST_S, CallerConnection
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -382,6 +383,51 @@
     run(main())
 
 
+async def _only_connection(w: World) -> CallerConnection:
+    while not w.node._callers._open:
+        await asyncio.sleep(0)
+    (connection,) = w.node._callers._open
+    return connection
+
+
+def test_a_peer_that_says_nothing_is_closed_soon() -> None:
+    """Guards against silent peers that hold the descriptors of callers: they filled them in five seconds."""
+
+    async def main() -> None:
+        async with world() as w:
+            peer = await w.caller()
+            (await _only_connection(w)).opened_at -= FIRST_S
+            assert await peer.ended()
+
+    run(main())
+
+
+def test_a_request_that_does_not_come_in_whole_gets_an_error_soon() -> None:
+    async def main() -> None:
+        async with world() as w:
+            peer = await w.caller()
+            peer.writer.write(request("book", body=BODY)[:-1])
+            connection = await _only_connection(w)
+            while not connection._reader.within:
+                await asyncio.sleep(0)
+            connection.opened_at -= FIRST_S
+            answer = await peer.answer()
+            assert (answer.status, answer.headers["connection"]) == (408, "close")
+            assert await peer.ended()
+
+    run(main())
+
+
+def test_a_caller_that_has_sent_a_request_may_stay_idle() -> None:
+    async def main() -> None:
+        async with world() as w:
+            await (await w.caller()).ask(target="/ready")
+            connection = await _only_connection(w)
+            assert not connection.stalled(connection.opened_at + 1000.0)
+
+    run(main())
+
+
 def test_a_chunked_body_over_the_limit_is_refused_before_its_end() -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
