Count a connection no longer once it makes way, so that no request is refused for it

The idle one that made way counted until its close had come through, and so a node at its limit stayed crowded. Taking unused connections first did not help beyond that and would close callers that are about to send.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -281,9 +281,12 @@
         exchange.size = 0
 
     def _shed_one(self, newest: CallerConnection) -> None:
-        idle = [c for c in self._open if c is not newest and c.idle()]
+        idle = [c for c in self._open if c is not newest and c.idle() and not c.owes()]
         if idle:
-            min(idle, key=lambda c: c.since).close()
+            oldest = min(idle, key=lambda c: c.since)
+            # It no longer counts: a request on another connection must not be refused until it has closed.
+            self._open.discard(oldest)
+            oldest.close()
 
     def _sweep(self) -> None:
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -564,6 +564,24 @@
     run(main())
 
 
+def test_an_idle_connection_that_makes_way_no_longer_counts() -> None:
+    """Guards against refusing a request in the moment in which an idle connection is being closed."""
+
+    async def main() -> None:
+        async with world(sockets=64) as w:
+            callers = w.node._callers
+            silent_peer, *used = [await w.caller() for _ in range(callers._most)]
+            for caller in used:
+                await caller.ask(target="/ready")
+            newest = CallerConnection(callers)
+            newest.connection_made(asyncio.Transport())
+            assert not callers.crowded()
+            assert await silent_peer.ended()
+            callers.closed(newest)
+
+    run(main())
+
+
 def test_the_settings_of_the_stubs_are_read_whole() -> None:
     """Guards the tests here: a renamed key would silently become a default."""
     names = {c["name"] for c in settings()["profiles"]}
