--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -15,7 +15,9 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 7.0  # a watch sends an empty line every 2 s: after three missing ones its machine is cut off
+# A watch sends an empty line every 2 s: after two missing ones its machine is cut off, or discovery is down.
+# News counts as told after 6 s whether it came or not, so a new watch must bring it before that.
+SILENCE_S = 4.5
 REWATCH_S = 0.25  # pause before the local agent is watched anew
 MAX_LINE = 4 * 1024 * 1024  # a list of some ten thousand servers
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 
 from fawngw.interface import Action, Event, RequestGone
 from fawngw.node.callers import FIRST_S, CallerConnection
+from fawngw.node.discovery import REWATCH_S
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -292,6 +293,23 @@
     run(main())
 
 
+def test_a_silent_watch_is_replaced_before_its_news_counts_as_told() -> None:
+    """Guards against sends to a server that drained six seconds ago, while the watch was given seven."""
+
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed") as w:
+            watch = await w.discovery.watch()
+            timer = w.node._discovery._timer
+            tell(watch, b"")
+            while w.node._discovery._timer is timer:
+                await asyncio.sleep(0)
+            timer = w.node._discovery._timer
+            assert timer is not None
+            assert timer.when() - asyncio.get_running_loop().time() + REWATCH_S < 6.0
+
+    run(main())
+
+
 @pytest.mark.parametrize("mode", ["pushed", "on_request"])
 def test_discovery_that_has_moved_is_watched_at_its_new_address(tmp_path: Path, mode: str) -> None:
     async def main() -> None:
