--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -60,6 +60,10 @@
 QUIET_S = 0.6  # after SIGTERM: new connections come for up to 0.4 s
 SILENT_S = 0.25  # and none may have come for this long
 LAST_S = 3.4  # all is answered by then: SIGKILL comes 3.7 s after SIGTERM at the earliest
+# Until then callers may go on with the connections they have: with a node beside this one also restarting,
+# there may be no other to go to.  What comes last must still be answered before LAST_S.
+SERVE_S = 2.0
+SERVE_LESS_S = 1.0  # than the longest deadline
 DRAIN_CHECK_S = 0.02
 
 
@@ -117,7 +121,7 @@
         self._callers = Callers(
             settings,
             self._take,
-            self._servers.any_listed,
+            lambda: self._terminated_at is None and self._servers.any_listed(),
             most=int(CALLERS_PART * sockets),
             most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
         )
@@ -372,14 +376,17 @@
     # ------------------------------------------------------------ the end
 
     def terminate(self) -> None:
-        """SIGTERM: answer what is here and what still comes, then end."""
+        """SIGTERM: no longer ready; answer what is here and what still comes, then end."""
         if self._terminated_at is not None:
             return
         log.info("terminating, %d requests open", len(self._requests))
         self._terminated_at = time.monotonic()
-        self._callers.wind_down()
+        longest_s = max(kind.deadline_ms for kind in self._config.settings.classes) / 1000.0
+        # SIGKILL comes sooner where all deadlines are under 3 s.
+        serve_s = min(SERVE_S, max(0.0, longest_s - SERVE_LESS_S))
+        self._loop.call_later(serve_s, self._callers.wind_down)
         self._loop.call_later(LAST_S, self._fail_rest)
-        self._loop.call_later(QUIET_S, self._end_when_quiet)
+        self._loop.call_later(max(QUIET_S, serve_s), self._end_when_quiet)
 
     def _fail_rest(self) -> None:
         """Few moments are left before SIGKILL: an answer that promises nothing beats none."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -530,6 +530,10 @@
             busy.writer.write(request("look"))
             await asyncio.wait_for(server.got.wait(), PATIENCE_S)
             w.node.terminate()
+            answer = await idle.ask(target="/ready")
+            assert (
+                answer.status == 503 and "connection" not in answer.headers
+            ), "callers may go on for a while"
             assert await idle.ended(), "an idle connection stayed open"
             answer = await (await w.caller()).ask(target="/ready")
             assert (answer.status, answer.headers["connection"]) == (503, "close")
