--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -825,7 +825,8 @@
         harmless = kind.effect is Effect.SAFE or (
             kind.effect is Effect.KEYED and kind.group is RepeatGroup.ALL
         )
-        if risky and not harmless:
+        rejected = any(a.ended is Outcome.REJECTED for a in request.attempts)
+        if rejected or (risky and not harmless):
             self._actions.append(Fail(request.id))
         else:
             wait = (
@@ -868,6 +869,9 @@
         left = request.deadline - self._now
         risky = any(a.may_have_run() for a in request.attempts)
         mean = self._class_patience[request.class_index].mean
+        if outcome is Outcome.REJECTED:
+            self._finish(request)
+            return
         costs = risky or outcome is Outcome.FULL  # an attempt that no server saw costs nothing to repeat
         if (
             len(request.attempts) < self.settings.max_attempts
@@ -884,6 +888,11 @@
     def _judge(self, server: Server, attempt: Attempt, event: AttemptEnded, request: Request | None) -> None:
         """What an outcome says of its server, its class and the load."""
         outcome, elapsed, name = event.outcome, event.elapsed_ms, server.entry.server
+        if outcome is Outcome.REJECTED:
+            # Says nothing of the server but that it is there: counted as failures, one caller's wrong
+            # requests ejected every server in turn.
+            server.heard = self._now
+            return
         if elapsed > self._patience.late() and self._now - server.heard >= elapsed:
             # All that is known of it is this one late outcome: where calls are few, an average of
             # seven spans most of a minute, and what crowded or stopped the server is still there.
--- a/fawngw/interface.py
+++ b/fawngw/interface.py
@@ -72,6 +72,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    REJECTED = "rejected"  # the server calls the request itself wrong; any other would, too
 
 
 # These outcomes prove that the attempt never ran.
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -196,6 +196,8 @@
         return Outcome.OK
     if message.status in (503, 504) and message.headers.get(NOT_RUN) == b"1":
         return Outcome.FULL
+    if 400 <= message.status < 500 and message.status not in (408, 429):  # these tell of the server
+        return Outcome.REJECTED
     return Outcome.ERROR
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -12,6 +12,7 @@
     Cancel,
     CloseIdle,
     Effect,
+    Fail,
     ListKind,
     Log,
     Outcome,
@@ -93,6 +94,20 @@
     assert Probe(bad) in play.log and "server 02 returns after a good trial" in texts(play)
 
 
+def test_a_rejected_request_fails_at_once_and_says_nothing_of_its_server() -> None:
+    """Guards against wrong requests of one caller, tried five times each, that ejected every server."""
+    play = make()
+    serve(play, 60)
+    averages = list(play.balancer.automaton.average)
+    for _ in range(30):
+        request = play.arrive()
+        mark = len(play.log)
+        play.end(request, 0, Outcome.REJECTED)
+        assert [type(a) for a in play.log[mark:]] == [Fail]
+    assert texts(play) == []
+    assert play.balancer.automaton.average == averages
+
+
 def test_a_trial_is_never_a_request_that_may_run_only_once() -> None:
     play = make(SAFE, UNSAFE, may_probe=True, cold_ms=1000.0)
     bad = bytes([2])
