--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -628,6 +628,7 @@
     def _pool(self, request: Request, last_resort: bool) -> list[int]:
         """Indices that the draw is conditioned on: allowed by the rules, then healthy and within budget."""
         allowed: list[int] = []
+        answering: list[int] = []
         fit: list[int] = []
         unhealthy = 0
         tried = {a.entry.server for a in request.attempts}
@@ -644,7 +645,10 @@
                 if not self._cold_allows(server, request.units, flow):
                     continue
             allowed.append(i)
-            if server.ejected or self._silent(server, late):
+            silent = self._silent(server, late)
+            if not silent:
+                answering.append(i)
+            if server.ejected or silent:
                 unhealthy += 1
                 continue
             out = len(server.out)
@@ -661,9 +665,11 @@
             if out > BUDGET_PLUS + BUDGET_TIMES * share * total:
                 continue
             fit.append(i)
-        if last_resort or unhealthy > PANIC * len(self._arms):
-            # Something that all servers share is wrong, or it is now or never: health is no guide.
-            fit = allowed
+        if unhealthy > PANIC * len(self._arms):
+            fit = allowed  # something that all servers share is wrong: health is no guide
+        elif last_resort:
+            # It is now or never: a crowded server may still answer in time, a silent one will not.
+            fit = answering or allowed
         fresh = [i for i in fit if self._arms[i].entry.server not in tried]
         if fresh or (request.out and not last_resort):
             fit = fresh
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -152,6 +152,33 @@
     assert silent not in sent_to(play, mark)
 
 
+def test_a_last_resort_is_no_silent_server_while_others_answer() -> None:
+    """Guards against sends that waited for crowded servers, then went to a silent one and timed out there."""
+    play = make(UNSAFE, servers=4)
+    serve(play, 80, latency=200.0)
+    silent = bytes([3])
+    mark = len(play.log)
+    while silent not in sent_to(play, mark):
+        end_all(play, list(play.owed), Outcome.OK)
+        play.arrive()
+    for _ in range(12):  # the others answer, so that its silence is its own
+        request = play.arrive()
+        play.step(150.0)
+        for number in play.live(request):
+            if play.owed[request].attempts[number].entry.server != silent:
+                play.end(request, number, Outcome.OK)
+    for server in play.balancer._arms:
+        if server.entry.server != silent:
+            server.rest_until = play.balancer._now + 60_000.0
+    automaton = play.balancer.automaton
+    automaton.p = [0.97 if server == silent else 0.01 for server in automaton.servers]
+    mark = len(play.log)
+    for _ in range(8):
+        play.arrive()
+    play.step(400.0)
+    assert sent_to(play, mark) and silent not in sent_to(play, mark)
+
+
 def test_a_late_attempt_on_a_server_that_answers_others_is_left_alone() -> None:
     """Long work on a healthy server was once given up and sent again."""
     for answers in (True, False):
