--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -380,7 +380,7 @@
 
 def _number(text: bytes, what: str, most: float) -> float:
     try:
-        value = float(text)
+        value = float(text) if b"_" not in text else -1.0  # Python's own grouping is none of HTTP's
     except ValueError:
         value = -1.0
     if not 0.0 < value <= most or value == float("inf"):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -373,6 +373,7 @@
         (request("look", drop=("X-Request-Id",)), 400),
         (request("look", drop=("X-Deadline",)), 400),
         (request("look", drop=("X-Class",)), 400),
+        (request("look", deadline="1_0"), 400),
         (request("look", drop=("X-Tenant",), extra="X-Tenant: nobody\r\n"), 400),
         (request("look", extra="X-Class: book\r\n"), 400),
         (request("look", deadline="soon"), 400),
