--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -240,6 +240,7 @@
         self._most = most
         self._most_bytes = most_bytes
         self._bytes = 0
+        self._refused = 0  # since the last sweep, for want of connections or memory
         self._loop = asyncio.get_running_loop()
         self._open: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -291,6 +292,16 @@
     def _sweep(self) -> None:
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
         now = self.now()
+        if self._refused:
+            log.warning(
+                "%d requests refused: %d callers connected (%d idle, at most %d), %d bytes held",
+                self._refused,
+                len(self._open),
+                sum(c.idle() for c in self._open),
+                self._most,
+                self._bytes,
+            )
+            self._refused = 0
         for connection in [c for c in self._open if c.stalled(now)]:
             connection.give_up()
 
@@ -324,6 +335,7 @@
         elif path == b"/api" or path.startswith(b"/api/"):
             ask = self._ask(message, path)
             if self.crowded() or self._bytes + len(message.body) > self._most_bytes:
+                self._refused += 1
                 exchange.close = True
                 exchange.answer(503, extra=b"Retry-After: %.3f\r\n" % FULL_RETRY_S)
             else:
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -317,11 +317,12 @@
         def done(outcome: Outcome, answer: Message | None) -> None:
             if outcome is not Outcome.OK:
                 log.info(
-                    "request %s attempt %d to %s: %s after %.0f ms, %s",
+                    "request %s attempt %d to %s: %s%s after %.0f ms, %s",
                     message.headers[REQUEST_ID].decode(errors="replace"),
                     number,
                     server.decode(errors="replace"),
                     outcome.value,
+                    f" ({answer.status})" if answer is not None else "",
                     self._clock.now() - sent,
                     call.path,
                 )
