Read load reports and skip servers that hold more than their share of all nodes' calls

Each node's budget (_pool) counts its own calls only; X-Load, which names all that a server holds, was not read by the node (_ended, _probe) nor used by the module. Logged, it said 12 and more as it happened.

Ruled out: more calls to those servers (22 in the four seconds it turned slow, 14 to 22 in those before); the tiers behind (their latencies stayed the same); discovery (the list came in time at the nodes that sent).

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -85,6 +85,10 @@
 BUDGET_TIMES = 1.25
 BUDGET_PLUS = 0.5
 
+# By load reports the same holds of all nodes' calls: where many share a server, each sees too few of its own.
+HELD_COLUMN = "outstanding"  # calls that a server holds, in its load reports
+REPORT_AIMS = 1.0  # a report older than this many aims says nothing of now
+
 WAITING_MOST = 4.0  # calls that may wait at a server, over all nodes, by its average against the calmest
 
 # Admission.
@@ -320,6 +324,8 @@
     ceiling: float = math.inf  # calls of ours that it is known to bear, once it has turned one away
     tokens: float = 0.0  # cold budget, in calls of mean work
     tokens_at: float = 0.0
+    others: float = 0.0  # calls of other nodes that it holds, by its last load report
+    told: float = -math.inf  # when that came
 
 
 @dataclass(slots=True)
@@ -371,6 +377,8 @@
         # What all nodes of the front admit is split over them; further in each node stands for itself.
         self._sharers = 1 if settings.stage else settings.balancers
         self._most_waiting = max(1.0, WAITING_MOST / self._sharers)
+        columns = settings.load_columns
+        self._held_column = columns.index(HELD_COLUMN) if HELD_COLUMN in columns else None
         self._can_repeat = any(c.effect is not Effect.UNSAFE for c in settings.classes)
         self._patience = Patience()
         self._class_patience = [Patience() for _ in settings.classes]
@@ -504,7 +512,7 @@
                 # A restarted process: what was held against the old one is void; it is cold again.
                 server.fail, server.strikes, server.ejected, server.trial = 0.0, 0, False, False
                 server.tokens, server.tokens_at = self._rng.random(), self._now
-                server.heard = self._now
+                server.heard, server.told = self._now, -math.inf
             server.entry, server.listed = entry, ready
 
     def _plan_ask(self, pause: float) -> None:
@@ -636,6 +644,7 @@
         mean = self.automaton.mean() or 0.0
         total = len(self._attempts)
         late = self._patience.late()
+        held = self._held_for_a_share()
         flow: float | None = None  # counted once, and only if a server is cold
         for i, server in enumerate(self._arms):
             if not self._permitted(request, server):
@@ -664,6 +673,12 @@
             share = p[i] * mean / slow if slow and slow > mean else p[i]
             if out > BUDGET_PLUS + BUDGET_TIMES * share * total:
                 continue
+            if (
+                held
+                and self._reported(server)
+                and out + server.others > BUDGET_PLUS + BUDGET_TIMES * share * held
+            ):
+                continue
             fit.append(i)
         if unhealthy > PANIC * len(self._arms):
             fit = allowed  # something that all servers share is wrong: health is no guide
@@ -675,6 +690,15 @@
             fit = fresh
         return self._near(fit)
 
+    def _reported(self, server: Server) -> bool:
+        return self._now - server.told <= REPORT_AIMS * self._aim
+
+    def _held_for_a_share(self) -> float:
+        """Calls of all nodes that servers hold, for a share of one; 0 where no fresh report tells."""
+        told = [i for i, s in enumerate(self._arms) if self._reported(s)]
+        share = sum(self.automaton.p[i] for i in told)
+        return sum(len(self._arms[i].out) + self._arms[i].others for i in told) / share if told else 0.0
+
     def _near(self, fit: list[int]) -> list[int]:
         """The home's servers while two of them are fit, else, where crossing has a price, the zone's."""
         home = [i for i in fit if self._home[i]]
@@ -858,6 +882,7 @@
             raise UnexpectedEvent(f"attempt {event.attempt} of request {event.request} was not out")
         server, attempt = found
         attempt.ended = event.outcome
+        self._note_load(server, event.load)
         del server.out[key]
         request = self._requests.get(event.request)
         self._judge(server, attempt, event, request)
@@ -871,6 +896,12 @@
         elif not request.out and not request.waiting:
             self._again_or_finish(request, event.outcome)
 
+    def _note_load(self, server: Server, load: Sequence[float]) -> None:
+        """What a server holds for other nodes: all that it reports less what is out there from here."""
+        if self._held_column is not None and self._held_column < len(load):
+            server.others = max(0.0, load[self._held_column] - len(server.out))
+            server.told = self._now
+
     def _again_or_finish(self, request: Request, outcome: Outcome) -> None:
         left = request.deadline - self._now
         risky = any(a.may_have_run() for a in request.attempts)
@@ -1002,6 +1033,8 @@
 
     def _on_probe(self, event: ProbeEnded) -> None:
         server = self._servers.get(event.server)
+        if server is not None:
+            self._note_load(server, event.load)
         if server is None or not server.ejected:
             return  # news of a server that has changed meanwhile
         if event.outcome is Outcome.OK:
--- a/fawngw/node/http.py
+++ b/fawngw/node/http.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import json
+import math
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import httptools
@@ -22,6 +24,7 @@
 IDEMPOTENCY_KEY = b"idempotency-key"
 NOT_RUN = b"x-not-run"
 CONTENT_TYPE = b"content-type"
+LOAD = b"x-load"
 
 _REASONS = {
     200: b"OK",
@@ -193,6 +196,22 @@
     )
 
 
+def load_report(message: Message | None, columns: Sequence[str]) -> tuple[float, ...]:
+    """The load report of an answer, in the order of the columns; empty where there is none that can be read.
+
+    A report only advises: one that is malformed spoils neither its answer nor the connection.
+    """
+    raw = message.headers.get(LOAD) if message is not None else None
+    if raw is None or not columns:
+        return ()
+    try:
+        report = json.loads(raw)
+        values = tuple(float(report[name]) for name in columns)
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
+        return ()
+    return values if all(math.isfinite(value) and value >= 0.0 for value in values) else ()
+
+
 def request_head(message: Message, host: bytes) -> bytes:
     """The part of an attempt's head that is the same for each attempt: all but the deadline."""
     lines = [b"%s %s HTTP/1.1\r\nHost: %s\r\n" % (message.method, message.start, host)]
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -41,7 +41,7 @@
 from fawngw.node.callers import Ask, Callers, Exchange
 from fawngw.node.config import Config, ConfigError, read_discovery
 from fawngw.node.discovery import Discovery, Listing
-from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, request_head
+from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, load_report, request_head
 from fawngw.node.servers import Call, Servers
 
 log = logging.getLogger(__name__)
@@ -348,13 +348,15 @@
             self._finish(request, 200, answer.body, b"Content-Type: %s\r\n" % kind if kind else b"")
         elapsed = self._clock.now() - sent
         finished = request not in self._requests
-        self._post(AttemptEnded(request, number, server, outcome, elapsed, finished))
+        load = load_report(answer, self._config.settings.load_columns)
+        self._post(AttemptEnded(request, number, server, outcome, elapsed, finished, load))
 
     def _probe(self, server: ServerId) -> None:
         sent = self._clock.now()
 
-        def done(outcome: Outcome, _: Message | None) -> None:
-            self._post(ProbeEnded(server, outcome, self._clock.now() - sent))
+        def done(outcome: Outcome, answer: Message | None) -> None:
+            load = load_report(answer, self._config.settings.load_columns)
+            self._post(ProbeEnded(server, outcome, self._clock.now() - sent, load))
 
         self._servers.call(server, lambda _: self._probe_text, PROBE_MS / 1000.0, done)
 
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -94,7 +94,7 @@
         self.feed(Arrival(request, class_index, budget))
         return request
 
-    def end(self, request: int, number: int, outcome: Outcome) -> None:
+    def end(self, request: int, number: int, outcome: Outcome, load: tuple[float, ...] = ()) -> None:
         owed = self.owed[request]
         tried = owed.attempts[number]
         tried.ended = outcome
@@ -102,7 +102,7 @@
             owed.done_at = self.now
         finished = owed.done_at is not None
         elapsed = self.now - tried.sent
-        self.feed(AttemptEnded(request, number, tried.entry.server, outcome, elapsed, finished))
+        self.feed(AttemptEnded(request, number, tried.entry.server, outcome, elapsed, finished, load))
 
     def live(self, request: int) -> Iterator[int]:
         """The attempts still out; one that is sent while going through them comes up too."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -452,3 +452,36 @@
     serve(play, 12, latency=50.0)
     serve(play, 60, latency=150.0)
     assert not any(t.startswith("admission limit on") for t in texts(play))
+
+
+def _held_elsewhere(play: Surrounding, held: dict[bytes, float]) -> None:
+    """Serve until every server has answered lately, each reporting what it holds for other nodes."""
+    told: set[bytes] = set()
+    while len(told) < len(play.balancer.automaton.servers):
+        request = play.arrive()
+        play.step(2)
+        for number in play.live(request):
+            server = play.owed[request].attempts[number].entry.server
+            told.add(server)
+            play.end(request, number, Outcome.OK, load=(1.0 + held.get(server, 2.0),))
+
+
+def test_a_server_that_holds_much_for_other_nodes_is_left_alone() -> None:
+    play = make(load_columns=("outstanding",), balancers=8)
+    crowded = b"\x02"
+    _held_elsewhere(play, {crowded: 15.0})
+    mark = len(play.log)
+    for _ in range(40):
+        end_all(play, [play.arrive()])
+    sent = sent_to(play, mark)
+    assert len(sent) == 40 and crowded not in sent
+
+
+def test_an_old_load_report_keeps_no_server_out() -> None:
+    play = make(load_columns=("outstanding",), balancers=8)
+    crowded = b"\x02"
+    _held_elsewhere(play, {crowded: 15.0})
+    play.step(1.5 * SAFE.aim_ms)
+    mark = len(play.log)
+    serve(play, 200, latency=2.0)
+    assert crowded in sent_to(play, mark)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fawngw.interface import Action, Event, RequestGone
+from fawngw.interface import Action, AttemptEnded, Event, RequestGone
 from fawngw.node.callers import FIRST_S, CallerConnection
 from fawngw.node.discovery import REWATCH_S
 from tests.stubs import (
@@ -615,3 +615,30 @@
             assert w.node._config.settings.ask_for_list
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ('{"outstanding":7.5,"backlog":2,"more":1}', (7.5, 2.0)),
+        ('{"outstanding":7}', ()),
+        ('{"outstanding":"many","backlog":2}', ()),
+        ('{"outstanding":-1,"backlog":2}', ()),
+        ('{"outstanding":NaN,"backlog":2}', ()),
+        ("[1,2]", ()),
+        ("7 requests", ()),
+        ("[" * 9000, ()),
+    ],
+)
+def test_a_load_report_reaches_the_module_and_a_broken_one_spoils_nothing(
+    text: str, load: tuple[float, ...]
+) -> None:
+    async def main() -> None:
+        behaviour = reply("200 OK", b"fine", extra=f"X-Load: {text}\r\n")
+        columns = {"columns": ["outstanding", "backlog"], "how": "inline"}
+        async with StubServer([behaviour]) as server, world(row("a", server.address), loadInfo=columns) as w:
+            events = _record(w.node._balancer)
+            assert (await (await w.caller()).ask("look")).body == b"fine"
+            assert [e.load for e in events if isinstance(e, AttemptEnded)] == [load]
+
+    run(main())
