Let the limit of calls out follow the capacity of servers that leave, come and warm up

The limit (_on_list, _part) counted listed servers, never fell with them, and a cold server counted as a whole one; strain tells after the jam.

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -385,6 +385,8 @@
         self._cost = 0.0  # mean cost hint
         self._sent = Rate(settings.cold_ms or 1000.0)  # units sent to warm servers
         self._limit = 0.0  # set by the first list
+        self._capacity = 0.0  # of the listed servers, in warm ones
+        self._cold_until = -math.inf  # when the last of them is warm
         self._strained = False
         self._strain = 0.0
         self._lateness = 0.0  # mean latency as a part of the aim
@@ -430,6 +432,8 @@
             self._on_probe(event)
         elif isinstance(event, AnswerStarted):
             self._on_started(event)
+        if self._now < self._cold_until:
+            self._follow_capacity()
         self._drain()
         if self._timers and self._timers[0][0] < self._wake:
             self._wake = self._timers[0][0]
@@ -497,6 +501,8 @@
         self.automaton.resize(weights, {name: self._servers[name].entry.kind for name in weights})
         self._arms = [self._servers[name] for name in self.automaton.servers]
         self._choose_home()
+        self._cold_until = max((s.entry.started_ms + self.settings.cold_ms for s in self._arms), default=0.0)
+        self._follow_capacity()
         if not self._strained:
             # All nodes of the tier start alike: each takes its part of what the fleet may hold.
             self._limit = max(self._limit, LIMIT_START * self._part())
@@ -770,6 +776,11 @@
         start = server.entry.started_ms
         return start > 0 and self._now - start < self.settings.cold_ms
 
+    def _ramp(self, server: Server) -> float:
+        """The part of its capacity that a cold server has by now at the least."""
+        low, age = self.settings.cold_start_share, self._now - server.entry.started_ms
+        return low + (1.0 - low) * max(age, 0.0) / self.settings.cold_ms
+
     def _warm_flow(self) -> float:
         """Units a millisecond that this node sends a warm server; over all servers while none is warm."""
         warm = sum(1 for s in self._arms if not self._is_cold(s))
@@ -781,8 +792,7 @@
         Every node does so alone; together they then send it its part of what warm servers bear, which
         leaves the multiple that the rule allows as a margin for chance and for heavy requests.
         """
-        low, age = self.settings.cold_start_share, self._now - server.entry.started_ms
-        ramp = low + (1.0 - low) * max(age, 0.0) / self.settings.cold_ms
+        ramp = self._ramp(server)
         most = max(1.0, ramp * flow * self.settings.fall_window_ms)
         server.tokens = min(most, server.tokens + ramp * flow * (self._now - server.tokens_at))
         server.tokens_at = self._now
@@ -1069,13 +1079,24 @@
             return False
         return self._now - start >= CALM_TURNS * self._level
 
+    def _follow_capacity(self) -> None:
+        """Keep the limit in proportion to what the servers bear while they come, go and warm up.
+
+        Latencies tell of a fleet that has lost half of its capacity only once the rest is jammed: what was
+        let out for all is then with those that stayed.
+        """
+        capacity = sum(self._ramp(s) if self._is_cold(s) else 1.0 for s in self._arms)
+        if self._capacity and capacity:
+            self._limit *= capacity / self._capacity
+        self._capacity = capacity or self._capacity
+
     def _part(self) -> float:
-        """This node's part of the fleet, in servers: at the front, where all that comes in is admitted.
+        """This node's part of the fleet, in warm servers: at the front, where all that comes in is admitted.
 
         Further in a node limits itself by the whole fleet: what it sends was admitted at the front, and a
         call held back there costs all the work done for it so far.
         """
-        return max(1.0, len(self._arms) / self._sharers)
+        return max(1.0, self._capacity / self._sharers)
 
     def _calm_down(self, latency: float) -> None:
         """Remember the mean latency of the calmest time: what the service takes when nothing queues."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from fawngw import Balancer
-from fawngw.decide import BUDGET_PLUS, BUDGET_TIMES
+from fawngw.decide import BUDGET_PLUS, BUDGET_TIMES, LIMIT_START
 from fawngw.interface import (
     Arrival,
     AttemptEnded,
@@ -18,6 +18,7 @@
     Outcome,
     Probe,
     ProbeEnded,
+    Readiness,
     Refuse,
     RequestClass,
     Send,
@@ -485,3 +486,21 @@
     mark = len(play.log)
     serve(play, 200, latency=2.0)
     assert crowded in sent_to(play, mark)
+
+
+def test_the_limit_follows_the_capacity_of_servers_that_leave_and_warm_up() -> None:
+    """Ten servers may hold sixty calls; five of them, half of that, before any latency has told."""
+    for stay, half_warm, part in ((10, 0, 1.0), (5, 0, 0.5), (5, 5, 0.8)):
+        play = make(servers=10, cold_ms=10_000.0, cold_start_share=0.2)
+        play.step(20_000.0)
+        rows = [
+            ServerEntry(bytes([i]), Readiness.READY if i < stay else Readiness.DRAINING) for i in range(10)
+        ]
+        play.list_of(rows, ListKind.CHANGES)
+        new = [ServerEntry(bytes([20 + i]), started_ms=play.now - 5000.0) for i in range(half_warm)]
+        play.list_of(new, ListKind.CHANGES)
+        mark = len(play.log)
+        for _ in range(100):
+            play.arrive()
+        # What waits is let out by its chance: the last call is within one of the limit.
+        assert abs(len(sent_to(play, mark)) - LIMIT_START * 10 * part) <= 1.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -131,7 +131,9 @@
         play.end(play.arrive(), 0, Outcome.OK)
     play.list_of([rows(4)[3]], ListKind.FULL)
     for _ in range(10):
-        assert play.owed[play.arrive()].attempts[0].entry.server == bytes([3])
+        request = play.arrive()
+        assert play.owed[request].attempts[0].entry.server == bytes([3])
+        play.end(request, 0, Outcome.OK)
 
 
 def test_a_burst_on_a_fleet_with_a_cold_server_keeps_the_cold_budget() -> None:
