--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -726,9 +726,11 @@
         settings = self.settings
         near = [s for s in self._arms if not settings.cross_zone_price or s.entry.zone == settings.zone]
         # A power of two: their number, which all homes hang on, must not follow every change of the list.
-        homes = 1 << max(0, (len(near) // HOME).bit_length() - 1)
+        # Few nodes keep to larger homes: with none at all each would open connections to every server.
+        most = min(len(near) // HOME, settings.balancers // HOME_COVER)
+        homes = 1 << max(0, most.bit_length() - 1)
         chosen = {s.entry.server for s in near}
-        if homes > 1 and settings.balancers * HOME >= HOME_COVER * len(self._arms):
+        if homes > 1:
             turn, place = divmod(settings.ordinal, homes)
             start = place / homes
             rings: dict[int, list[tuple[float, ServerId]]] = {}
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -39,6 +39,17 @@
     assert len(met) == 60 and all(0.6 * mean < n < 1.5 * mean for n in met.values())
 
 
+def test_a_dozen_nodes_share_a_large_tier_by_larger_homes() -> None:
+    """Seen with eleven nodes: each opened connections to all of 37 servers, a third of all handshakes."""
+    met: Counter[bytes] = Counter()
+    for ordinal in range(12):
+        mine = home(node(ordinal, 12, 37))
+        assert len(mine) < 12
+        met.update(mine)
+    assert len(met) == 37 and all(2 <= n <= 5 for n in met.values())
+    assert 18 <= len(home(node(0, 7, 37))) <= 20
+
+
 def test_few_nodes_keep_to_all_servers() -> None:
     assert len(home(node(0, 3, 10))) == 10
     assert len(home(node(1, 3, 60))) == 60
