--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -1098,7 +1098,7 @@
         Further in a node limits itself by the whole fleet: what it sends was admitted at the front, and a
         call held back there costs all the work done for it so far.
         """
-        return max(1.0, self._capacity / self._sharers)
+        return self._capacity / self._sharers
 
     def _calm_down(self, latency: float) -> None:
         """Remember the mean latency of the calmest time: what the service takes when nothing queues."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -500,3 +500,10 @@
         new = [ServerEntry(bytes([20 + i]), started_ms=play.now - 5000.0) for i in range(half_warm)]
         play.list_of(new, ListKind.CHANGES)
         assert abs(play.balancer._limit - LIMIT_START * 10 * part) < 1e-6
+
+
+def test_a_nodes_part_of_a_small_fleet_may_be_less_than_one_server() -> None:
+    play = make(servers=10, balancers=10)
+    gone = [ServerEntry(bytes([i]), Readiness.DRAINING) for i in range(6)]
+    play.list_of(gone, ListKind.CHANGES)
+    assert abs(play.balancer._limit - LIMIT_START * 0.4) < 1e-6
