Set the start limit once and let it follow capacity from there, also for many nodes on few servers

The floor is back for the start alone; what undid the proportion was that each list raised the limit to the start again (_on_list).

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -503,9 +503,6 @@
         self._choose_home()
         self._cold_until = max((s.entry.started_ms + self.settings.cold_ms for s in self._arms), default=0.0)
         self._follow_capacity()
-        if not self._strained:
-            # All nodes of the tier start alike: each takes its part of what the fleet may hold.
-            self._limit = max(self._limit, LIMIT_START * self._part())
 
     def _take_entry(self, entry: ServerEntry) -> None:
         server = self._servers.get(entry.server)
@@ -1088,9 +1085,14 @@
         let out for all is then with those that stayed.
         """
         capacity = sum(self._ramp(s) if self._is_cold(s) else 1.0 for s in self._arms)
-        if self._capacity and capacity:
-            self._limit *= capacity / self._capacity
-        self._capacity = capacity or self._capacity
+        if not capacity:
+            return  # whatever is listed next, the limit stands for what was listed last
+        known, self._capacity = self._capacity, capacity
+        if known:
+            self._limit *= capacity / known
+        else:
+            # All nodes of the tier start alike: each takes its part of what the fleet may hold.
+            self._limit = LIMIT_START * self._part()
 
     def _part(self) -> float:
         """This node's part of the fleet, in warm servers: at the front, where all that comes in is admitted.
@@ -1098,7 +1100,7 @@
         Further in a node limits itself by the whole fleet: what it sends was admitted at the front, and a
         call held back there costs all the work done for it so far.
         """
-        return self._capacity / self._sharers
+        return max(1.0, self._capacity / self._sharers)
 
     def _calm_down(self, latency: float) -> None:
         """Remember the mean latency of the calmest time: what the service takes when nothing queues."""
