Watch a failing discovery anew with jittered pauses that grow

Now 0.13 to 0.25 s, doubled up to 1 s while no line comes, from a seed of the node's own; a silence of 4.5 s and the longest pause stay under the 6 s after which news counts as told. A line that cannot be read counts as a failure.

--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -18,7 +19,9 @@
 # A watch sends an empty line every 2 s: after two missing ones its machine is cut off, or discovery is down.
 # News counts as told after 6 s whether it came or not, so a new watch must bring it before that.
 SILENCE_S = 4.5
-REWATCH_S = 0.25  # pause before the local agent is watched anew
+# Pause before the agent is watched anew: doubled while it fails, and less by chance, as all lose it at once.
+REWATCH_S = 0.25
+REWATCH_MOST_S = 1.0  # beside a silence this still brings the news in time
 MAX_LINE = 4 * 1024 * 1024  # a list of some ten thousand servers
 
 _LIFECYCLES = {
@@ -149,6 +152,7 @@
         naming: Naming,
         *,
         pushed: bool,
+        seed: int,
         call_s: float,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[], None],
@@ -160,6 +164,8 @@
         self._on_list = on_list
         self._on_failed = on_failed
         self._loop = asyncio.get_running_loop()
+        self._random = random.Random(seed)
+        self._failures = 0  # since the last line of a watch
         self._version = 0
         self._watch: _Watch | None = None
         self._call: asyncio.Task[None] | None = None
@@ -219,6 +225,7 @@
             return  # a late line of a watch that was given up
         self._expect(SILENCE_S)
         if not line.strip():
+            self._failures = 0
             return
         try:
             listing = self._naming.read(json.loads(line))
@@ -226,6 +233,7 @@
             log.warning("discovery: bad line: %s", error)
             self._fail()
             return
+        self._failures = 0
         self._version = listing.version
         self._on_list(listing)
 
@@ -236,6 +244,8 @@
     def _fail(self) -> None:
         self.close()
         if self._pushed:
-            self._timer = self._loop.call_later(REWATCH_S, self.subscribe)
+            pause = min(REWATCH_MOST_S, REWATCH_S * 2.0 ** min(self._failures, 10))
+            self._failures += 1
+            self._timer = self._loop.call_later(pause * (0.5 + 0.5 * self._random.random()), self.subscribe)
         else:
             self._on_failed()
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -129,6 +129,7 @@
             config.discovery,
             config.naming,
             pushed=not settings.ask_for_list,
+            seed=config.seed,
             call_s=CALL_PART * settings.must_ask_ms / 1000.0,
             on_list=self._on_list,
             on_failed=lambda: self._post(ServerList(ListKind.FAILED)),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,7 +10,7 @@
 
 from fawngw.interface import Action, AttemptEnded, Event, RequestGone
 from fawngw.node.callers import FIRST_S, CallerConnection
-from fawngw.node.discovery import REWATCH_S
+from fawngw.node.discovery import REWATCH_MOST_S, REWATCH_S
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -305,7 +305,33 @@
                 await asyncio.sleep(0)
             timer = w.node._discovery._timer
             assert timer is not None
-            assert timer.when() - asyncio.get_running_loop().time() + REWATCH_S < 6.0
+            assert timer.when() - asyncio.get_running_loop().time() + REWATCH_MOST_S < 6.0
+
+    run(main())
+
+
+def test_a_failing_agent_is_watched_anew_with_jittered_pauses_that_grow() -> None:
+    """All nodes lose discovery at once: they must not come back in step, nor four times a second."""
+
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed") as w:
+            discovery = w.node._discovery
+            await w.discovery.watch()
+            pauses = []
+            for _ in range(5):
+                discovery._fail()
+                assert discovery._timer is not None
+                pauses.append(discovery._timer.when() - asyncio.get_running_loop().time())
+            for pause, longest in zip(pauses, (0.25, 0.5, 1.0, 1.0, 1.0), strict=True):
+                assert 0.4 * longest < pause <= longest + 0.01
+            assert pauses[2] != pytest.approx(pauses[3], abs=0.001)
+            watch = await w.discovery.watch()
+            tell(watch, b"")
+            while discovery._failures:
+                await asyncio.sleep(0)
+            discovery._fail()
+            assert discovery._timer is not None
+            assert discovery._timer.when() - asyncio.get_running_loop().time() <= REWATCH_S + 0.01
 
     run(main())
 
