--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -441,6 +441,17 @@
             self._actions.append(SetTimer(self._seq, self._wake))
         return self._actions
 
+    @property
+    def pool_size(self) -> int:
+        """Servers in the list."""
+        return len(self._arms)
+
+    @property
+    def pool_ejected(self) -> int:
+        """Listed servers that are avoided at the last event: those held to be unhealthy."""
+        late = self._patience.late()
+        return sum(1 for s in self._arms if s.ejected or self._silent(s, late))
+
     def _at(self, when: float, kind: int, subject: RequestId | ServerId | None = None) -> None:
         self._seq += 1
         heapq.heappush(self._timers, (when, self._seq, kind, subject))
--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from typing import cast
 
 from fawngw.interface import Effect, Settings
+from fawngw.node.config import ConfigError
 from fawngw.node.http import (
     CLASS,
     COST_HINT,
@@ -25,6 +27,7 @@
     Reader,
     answer,
 )
+from fawngw.node.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +39,7 @@
 SWEEP_S = 0.25
 LINGER_S = 1.0  # after an early answer what still comes in is read away, else a reset could overtake it
 FULL_RETRY_S = 0.5
+BACKLOG = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +58,13 @@
 class Exchange:
     """One request of a caller's and the place of its one answer."""
 
-    __slots__ = ("_connection", "close", "gone", "on_gone", "output", "size")
+    __slots__ = ("_connection", "class_index", "close", "gone", "on_gone", "output", "size")
 
     def __init__(self, connection: CallerConnection, close: bool) -> None:
         self._connection = connection
         self.close = close
         self.gone = False
+        self.class_index: int | None = None  # of a valid request
         self.size = 0  # bytes of its body, counted while it is open
         self.output: bytes | None = None
         self.on_gone: Callable[[], None] | None = None
@@ -71,6 +76,8 @@
         # Nothing may follow an answer that closes: with more requests behind it this one leaves open.
         self.close = self.close or (self._connection.callers.closing and self._connection.is_last(self))
         self._connection.callers.release(self)
+        if self.class_index is not None:
+            self._connection.callers.metrics.answered(self.class_index, status)
         self.output = answer(status, body, extra, close=self.close)
         self._connection.flush()
 
@@ -219,6 +226,21 @@
             self._transport.resume_reading()
 
 
+def adopt(descriptor: int) -> socket.socket:
+    """The listening socket that this process was started with."""
+    try:
+        listener = socket.socket(fileno=descriptor)
+        listening = listener.family == socket.AF_INET and listener.getsockopt(
+            socket.SOL_SOCKET, socket.SO_ACCEPTCONN
+        )
+    except OSError as error:
+        raise ConfigError(f"NODE_ACCEPT_FD: descriptor {descriptor} is no socket: {error}") from None
+    if not listening:
+        listener.detach()
+        raise ConfigError(f"NODE_ACCEPT_FD: descriptor {descriptor} is no listening TCP socket")
+    return listener
+
+
 class Callers:
     """The listening socket and all connections of callers."""
 
@@ -227,11 +249,13 @@
         settings: Settings,
         take: Callable[[Ask, Exchange], None],
         ready: Callable[[], bool],
+        metrics: Metrics,
         most: int,
         most_bytes: int,
     ) -> None:
-        self.closing = False
-        self.last_heard = 0.0  # when a connection or a request last came
+        self.closing = False  # every answer closes its connection
+        self.metrics = metrics
+        self._last_heard = 0.0  # when a connection or a request last came
         self._settings = settings
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
@@ -246,15 +270,25 @@
         self._server: asyncio.Server | None = None
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
 
-    async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
-        """Listen on this address only; returns it with the port that was bound."""
-        host, port = address
-        self._server = await self._loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=1024, reuse_address=True
-        )
+    async def listen(self, at: tuple[str, int] | socket.socket) -> tuple[str, int]:
+        """Accept on this address only, or on a socket that listens already; returns the address."""
+        if isinstance(at, socket.socket):
+            self._server = await self._loop.create_server(
+                lambda: CallerConnection(self), sock=at, backlog=BACKLOG
+            )
+        else:
+            self._server = await self._loop.create_server(
+                lambda: CallerConnection(self), *at, backlog=BACKLOG, reuse_address=True
+            )
         bound: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return bound
 
+    def stop_accepting(self) -> None:
+        """Leave what comes anew to the others that hold the same listening socket."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
     @staticmethod
     def now() -> float:
         """Seconds; the loop's own time is too coarse to tell which connection is idle longest."""
@@ -265,7 +299,7 @@
 
     def opened(self, connection: CallerConnection) -> None:
         self._open.add(connection)
-        self.last_heard = self.now()
+        self._last_heard = self.now()
         if len(self._open) > self._most:
             self._shed_one(connection)
 
@@ -305,20 +339,29 @@
         for connection in [c for c in self._open if c.stalled(now)]:
             connection.give_up()
 
-    def wind_down(self) -> None:
-        """From now on every answer closes its connection, and idle ones are closed at once."""
-        self.closing = True
-        for connection in [c for c in self._open if c.idle()]:
+    def close_idle(self, least_s: float) -> None:
+        """Close the connections that have been idle for this long."""
+        before = self.now() - least_s
+        for connection in [c for c in self._open if c.idle() and c.since <= before]:
             connection.close()
 
+    def open_count(self) -> int:
+        return len(self._open)
+
+    def empty(self) -> bool:
+        return not self._open
+
+    def quiet_s(self) -> float:
+        """For how long neither a connection nor a request has come."""
+        return self.now() - self._last_heard
+
     def busy(self) -> bool:
         """Whether a caller is still owed something, or is sending."""
         return any(c.owes() for c in self._open)
 
     def close(self) -> None:
         self._sweeper.cancel()
-        if self._server is not None:
-            self._server.close()
+        self.stop_accepting()
         for connection in list(self._open):
             connection.drop()
 
@@ -326,14 +369,15 @@
 
     def route(self, message: Message, exchange: Exchange) -> None:
         """Take one whole request; MessageError if it is none that a node serves."""
-        self.last_heard = self.now()
+        self._last_heard = self.now()
         path = message.start.partition(b"?")[0]
         if path == b"/ready":
             if message.method != b"GET":
                 raise MessageError(400, "method")
-            exchange.answer(200 if self._ready() and not self.closing else 503)
+            exchange.answer(200 if self._ready() else 503)
         elif path == b"/api" or path.startswith(b"/api/"):
             ask = self._ask(message, path)
+            exchange.class_index = ask.class_index
             if self.crowded() or self._bytes + len(message.body) > self._most_bytes:
                 self._refused += 1
                 exchange.close = True
--- a/fawngw/node/config.py
+++ b/fawngw/node/config.py
@@ -45,6 +45,8 @@
     known: Listing | None
     conn_idle_ms: float
     path: str  # of the file, which the platform may replace while the node runs
+    management: tuple[str, int] | None = None
+    accept_fd: int | None = None  # of the clients' listening socket, where the platform holds it
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -70,6 +72,8 @@
         known=_known(raw.get("known"), naming),
         conn_idle_ms=_conn_idle(values),
         path=path,
+        management=_management(environment, raw),
+        accept_fd=_descriptor(environment.get("NODE_ACCEPT_FD", "")),
     )
 
 
@@ -127,6 +131,21 @@
         raise ConfigError(f"{variable} is not an address and a port: {text!r}") from None
 
 
+def _management(environment: Mapping[str, str], raw: Mapping[str, Any]) -> tuple[str, int] | None:
+    """The second address; None where the platform names none."""
+    if not environment.get("NODE_MANAGEMENT") and raw.get("management") is None:
+        return None
+    return _address(environment, raw, "NODE_MANAGEMENT", "management")
+
+
+def _descriptor(text: str) -> int | None:
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ConfigError(f"NODE_ACCEPT_FD is not a descriptor: {text!r}")
+    return int(text)
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Host and port of 'host:port'; ValueError where there is none."""
     host, _, port = text.rpartition(":")
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import signal
+import socket
 import time
 from collections import deque
 from dataclasses import dataclass, field
@@ -38,10 +39,14 @@
     Subscribe,
     TimerFired,
 )
-from fawngw.node.callers import Ask, Callers, Exchange
+from fawngw.node import management
+from fawngw.node.callers import Ask, Callers, Exchange, adopt
 from fawngw.node.config import Config, ConfigError, read_discovery
 from fawngw.node.discovery import Discovery, Listing
+from fawngw.node.drain import Drain, Phase
 from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, load_report, request_head
+from fawngw.node.management import Management, Reply
+from fawngw.node.metrics import Metrics
 from fawngw.node.servers import Call, Servers
 
 log = logging.getLogger(__name__)
@@ -57,14 +62,10 @@
 BODIES_PART = 0.25  # of the memory, for the bodies of open requests; as much again may be in buffers
 SERVERS_PART = 0.45  # the rest is kept for new connections, discovery and the process itself
 
-QUIET_S = 0.6  # after SIGTERM: new connections come for up to 0.4 s
-SILENT_S = 0.25  # and none may have come for this long
-LAST_S = 3.4  # all is answered by then: SIGKILL comes 3.7 s after SIGTERM at the earliest
-# Until then callers may go on with the connections they have: with a node beside this one also restarting,
-# there may be no other to go to.  What comes last must still be answered before LAST_S.
-SERVE_S = 2.0
-SERVE_LESS_S = 1.0  # than the longest deadline
-DRAIN_CHECK_S = 0.02
+ADOPT_WAIT_S = 1.0  # for discovery's first word, before an inherited listener is accepted from
+MANAGEMENT_PART = 1 / 12  # of all descriptors, for peers of the second address: dozens may be silent
+MANAGEMENT_LEAST = 2
+SHARED_PART = 0.5  # of the limits, for each of two processes that are one node during an upgrade
 
 
 class Clock:
@@ -109,9 +110,13 @@
         self._last_id = 0
         self._host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
         self._probe_text = b"GET /health HTTP/1.1\r\nHost: %s\r\n\r\n" % self._host
-        self._terminated_at: float | None = None
         self._done = asyncio.Event()
-        sockets = config.limits.sockets
+        self._address = config.listen
+        self._told = False  # discovery has spoken, or has had its time
+        self._listener = adopt(config.accept_fd) if config.accept_fd is not None else None
+        part = 1.0 if self._listener is None else SHARED_PART
+        sockets = int(part * config.limits.sockets)
+        self._metrics = Metrics([kind.name for kind in settings.classes])
         self._servers = Servers(
             connect_s=settings.connect_timeout_ms / 1000.0,
             idle_s=config.conn_idle_ms / 1000.0,
@@ -121,9 +126,26 @@
         self._callers = Callers(
             settings,
             self._take,
-            lambda: self._terminated_at is None and self._servers.any_listed(),
+            self.ready,
+            self._metrics,
             most=int(CALLERS_PART * sockets),
-            most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
+            most_bytes=int(BODIES_PART * part * config.limits.memory_mb * 1_000_000),
+        )
+        self._drain = Drain(
+            self._callers,
+            longest_s=max(kind.deadline_ms for kind in settings.classes) / 1000.0,
+            handed_over=self._listener is not None,
+            fail_rest=self._fail_rest,
+            left=self.stop,
+        )
+        self._management = Management(
+            {
+                b"/api/ready": management.Call(b"GET", lambda: Reply(200 if self.ready() else 503)),
+                b"/api/telemetry": management.Call(b"GET", self._telemetry),
+                b"/api/evacuate": management.Call(b"POST", lambda: _done_or_conflict(self._drain.evacuate())),
+                b"/api/rejoin": management.Call(b"POST", lambda: _done_or_conflict(self._drain.rejoin())),
+            },
+            most=max(MANAGEMENT_LEAST, int(MANAGEMENT_PART * sockets)),
         )
         self._discovery = Discovery(
             config.discovery,
@@ -136,7 +158,7 @@
         )
 
     async def start(self) -> tuple[str, int]:
-        """Listen; returns the address that was bound."""
+        """Listen; returns the clients' address.  An inherited listener is accepted from only once ready."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.terminate)
         self._loop.add_signal_handler(signal.SIGHUP, self.reconfigure)
@@ -145,9 +167,34 @@
             self._servers.update(known)
             self._post(known.event(cached=True))
         self._discovery.start(known.version if known is not None else 0)
-        host, port = await self._callers.listen(self._config.listen)
-        log.info("node %s listens on %s:%d", self._config.name, host, port)
-        return host, port
+        if self._config.management is not None:
+            try:
+                self.management = await self._management.listen(self._config.management)
+            except OSError as error:
+                raise ConfigError(f"NODE_MANAGEMENT cannot be used: {error}") from None
+            log.info("node %s is managed on %s:%d", self._config.name, *self.management)
+        if self._listener is None:
+            await self._accept(self._config.listen)
+        else:
+            self._address = self._listener.getsockname()[:2]
+            self._loop.call_later(ADOPT_WAIT_S, self._hear)
+        return self._address
+
+    async def _accept(self, at: tuple[str, int] | socket.socket) -> None:
+        self._address = await self._callers.listen(at)
+        log.info("node %s listens on %s:%d", self._config.name, *self._address)
+
+    def _hear(self) -> None:
+        """What discovery had to say at the start is known: clients may come, where servers are listed."""
+        self._told = True
+        leaving = self._drain.phase is Phase.LEAVING
+        if self._listener is not None and self._servers.any_listed() and not leaving:
+            listener, self._listener = self._listener, None
+            self._accepting = self._loop.create_task(self._accept(listener))
+
+    def ready(self) -> bool:
+        """Whether clients may be sent here."""
+        return self._drain.phase is Phase.SERVING and self._callers.listening() and self._servers.any_listed()
 
     def stop(self) -> None:
         """End now, whatever is open."""
@@ -156,6 +203,7 @@
     async def wait(self) -> None:
         """Serve until SIGTERM, then until everything taken is answered."""
         await self._done.wait()
+        self._management.close()
         self._discovery.close()
         self._callers.close()
         self._servers.close()
@@ -230,8 +278,7 @@
         self._last_id += 1
         request = self._last_id
         budget = ask.budget_ms
-        if self._terminated_at is not None:
-            budget = min(budget, 1000.0 * (self._terminated_at + LAST_S - time.monotonic()))
+        budget = min(budget, 1000.0 * self._drain.time_left_s())
         budget = max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * budget))
         self._requests[request] = Pending(
             ask.message,
@@ -332,7 +379,12 @@
             self._ended(request, number, server, sent, outcome, answer)
 
         call = self._servers.call(
-            server, render, timeout / 1000.0, done, repeatable=pending.effect is not Effect.UNSAFE
+            server,
+            render,
+            timeout / 1000.0,
+            done,
+            repeatable=pending.effect is not Effect.UNSAFE,
+            on_written=self._metrics.tried,
         )
         self._calls[request, number] = call
 
@@ -378,32 +430,26 @@
     def _on_list(self, listing: Listing) -> None:
         self._servers.update(listing)
         self._post(listing.event())
+        self._hear()
 
-    # ------------------------------------------------------------ the end
+    # ------------------------------------------------------------ staff, and the end
+
+    def _telemetry(self) -> Reply:
+        balancer = self._balancer
+        figures = self._metrics.render(
+            active=len(self._requests), pool_size=balancer.pool_size, pool_ejected=balancer.pool_ejected
+        )
+        return Reply(200, figures)
 
     def terminate(self) -> None:
         """SIGTERM: no longer ready; answer what is here and what still comes, then end."""
-        if self._terminated_at is not None:
-            return
-        log.info("terminating, %d requests open", len(self._requests))
-        self._terminated_at = time.monotonic()
-        longest_s = max(kind.deadline_ms for kind in self._config.settings.classes) / 1000.0
-        # SIGKILL comes sooner where all deadlines are under 3 s.
-        serve_s = min(SERVE_S, max(0.0, longest_s - SERVE_LESS_S))
-        self._loop.call_later(serve_s, self._callers.wind_down)
-        self._loop.call_later(LAST_S, self._fail_rest)
-        self._loop.call_later(max(QUIET_S, serve_s), self._end_when_quiet)
+        self._drain.leave()
 
     def _fail_rest(self) -> None:
         """Few moments are left before SIGKILL: an answer that promises nothing beats none."""
         for request in list(self._requests):
             self._answer_fault(request)
 
-    def _end_when_quiet(self) -> None:
-        assert self._terminated_at is not None
-        now = time.monotonic()
-        quiet = not self._callers.busy() and now - self._callers.last_heard >= SILENT_S
-        if quiet or now - self._terminated_at > LAST_S + SILENT_S:
-            self.stop()
-        else:
-            self._loop.call_later(DRAIN_CHECK_S, self._end_when_quiet)
+
+def _done_or_conflict(done: bool) -> Reply:
+    return Reply(200 if done else 409)
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -32,14 +32,28 @@
 class Call:
     """One request to a server: an attempt or a probe.  It ends once, with one outcome."""
 
-    __slots__ = ("_done", "_loop", "_timer", "connection", "deadline", "ended", "path", "render", "written")
+    __slots__ = (
+        "_done",
+        "_loop",
+        "_timer",
+        "connection",
+        "deadline",
+        "ended",
+        "on_written",
+        "path",
+        "render",
+        "written",
+    )
 
-    def __init__(self, render: Render, timeout_s: float, done: Done) -> None:
+    def __init__(
+        self, render: Render, timeout_s: float, done: Done, on_written: Callable[[], None] | None = None
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self.render = render
         self.deadline = self._loop.time() + timeout_s
         self.connection: Connection | None = None
         self.written = False
+        self.on_written = on_written
         self.path = "not written"  # which connection it went out on, for the log
         self.ended = False
         self._done = done
@@ -132,6 +146,8 @@
         )
         self._carried += 1
         self._transport.write(call.render(call.deadline - now))
+        if call.on_written is not None:
+            call.on_written()
 
     def leave(self, deadline: float) -> None:
         """Read the answer of the present call away until then; only after it another call is carried."""
@@ -283,14 +299,21 @@
     # Calls.
 
     def call(
-        self, server: ServerId, render: Render, timeout_s: float, done: Done, *, repeatable: bool = True
+        self,
+        server: ServerId,
+        render: Render,
+        timeout_s: float,
+        done: Done,
+        *,
+        repeatable: bool = True,
+        on_written: Callable[[], None] | None = None,
     ) -> Call:
         """Start one call; its outcome comes by done, once, at the earliest after this returns.
 
         One that is not repeatable goes on an idle connection that may have been dropped only if a probe on
         it is answered first: that costs the server less than the handshake of a new one.
         """
-        call = Call(render, timeout_s, done)
+        call = Call(render, timeout_s, done, on_written)
         peer = self._peers.get(server)
         if peer is None:
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
