Adopt the inherited listener once, though discovery speaks during the start

Line at fault: Node.start read self._listener after an await; the first list had cleared it meanwhile, so the node bound its own socket too. Ruled out: a second start by the platform (one pid in the log).

--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -173,9 +173,9 @@
             except OSError as error:
                 raise ConfigError(f"NODE_MANAGEMENT cannot be used: {error}") from None
             log.info("node %s is managed on %s:%d", self._config.name, *self.management)
-        if self._listener is None:
+        if self._config.accept_fd is None:
             await self._accept(self._config.listen)
-        else:
+        elif self._listener is not None:  # else discovery has spoken meanwhile
             self._address = self._listener.getsockname()[:2]
             self._loop.call_later(ADOPT_WAIT_S, self._hear)
         return self._address
