--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -306,10 +306,29 @@
     async def caller(self) -> Caller:
         return await Caller.connect(self.address)
 
+    async def manage(self, method: str, path: str) -> Answer:
+        """One call to the second address."""
+        caller = await Caller.connect(self.node.management)
+        caller.writer.write(f"{method} {path} HTTP/1.1\r\nHost: n0\r\n\r\n".encode())
+        answer = await caller.answer()
+        assert await caller.ended(), "a management call left its connection open"
+        return answer
+
+    async def figures(self) -> dict[str, int]:
+        """The node's figures, by their names with labels."""
+        text = (await self.manage("GET", "/api/telemetry")).body.decode()
+        return {name: int(value) for name, value in (line.rsplit(" ", 1) for line in text.splitlines())}
+
 
 @contextlib.asynccontextmanager
 async def world(
-    *rows: dict[str, Any], sockets: int = 256, known: bool = True, path: str = "", **changes: Any
+    *rows: dict[str, Any],
+    sockets: int = 256,
+    memory_mb: int = 192,
+    known: bool = True,
+    path: str = "",
+    accept_fd: int | None = None,
+    **changes: Any,
 ) -> AsyncIterator[World]:
     """A node that knows these servers; changes go into its settings."""
     naming = Naming(("hall",), ("std",))
@@ -320,12 +339,14 @@
             listen=(HOST, 0),
             discovery=(host, int(port)),
             seed=7,
-            limits=Limits(192, sockets),
+            limits=Limits(memory_mb, sockets),
             settings=read_settings(dict(flat(settings(**changes)))),
             naming=naming,
             known=naming.read(listing(1, *rows)) if known else None,
             conn_idle_ms=30_000.0,
             path=path,
+            management=(HOST, 0),
+            accept_fd=accept_fd,
         )
         node = Node(config)
         address = await node.start()
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -7,8 +7,12 @@
 import os
 import re
 import signal
+import socket
 import tomllib
 from pathlib import Path
+from typing import Any
+
+import pytest
 
 from tests.stubs import (
     HOST,
@@ -21,12 +25,13 @@
     row,
     run,
     settings,
+    tell,
 )
 
 ROOT = Path(__file__).parent.parent
 
 
-async def _start(environment: dict[str, str]) -> asyncio.subprocess.Process:
+async def _start(environment: dict[str, str], pass_fds: tuple[int, ...] = ()) -> asyncio.subprocess.Process:
     command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     return await asyncio.create_subprocess_exec(
         "/bin/sh",
@@ -35,33 +40,46 @@
         cwd=ROOT,
         env={**os.environ, **environment},
         stderr=asyncio.subprocess.PIPE,
+        pass_fds=pass_fds,
     )
 
 
+def _configuration(server: StubServer) -> dict[str, Any]:
+    return {
+        "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": listing(1, row("a", server.address)),
+        "settings": settings(registryMode="pushed"),
+    }
+
+
+def _environment(discovery: StubDiscovery, config: Path) -> dict[str, str]:
+    return {
+        "NODE_NAME": "n0",
+        "NODE_LISTEN": f"{HOST}:0",
+        "NODE_DISCOVERY": discovery.address,
+        "NODE_CONFIG": str(config),
+    }
+
+
+async def _told(process: asyncio.subprocess.Process, what: str) -> tuple[str, int]:
+    """The address that the node's log names."""
+    assert process.stderr is not None
+    line = ""
+    while not (found := re.search(rf"{what} on ([\d.]+):(\d+)", line)):
+        line = (await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)).decode()
+        assert line, "the node ended"
+    return found[1], int(found[2])
+
+
 def test_run_serves_a_request_lives_through_sighup_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
             config = tmp_path / "config.json"
-            raw = {
-                "seed": "1",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                "known": listing(1, row("a", server.address)),
-                "settings": settings(registryMode="pushed"),
-            }
+            raw = _configuration(server)
             config.write_text(json.dumps(raw))
-            process = await _start(
-                {
-                    "NODE_NAME": "n0",
-                    "NODE_LISTEN": f"{HOST}:0",
-                    "NODE_DISCOVERY": discovery.address,
-                    "NODE_CONFIG": str(config),
-                }
-            )
-            assert process.stderr is not None
-            line = (await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)).decode()
-            found = re.search(r"listens on ([\d.]+):(\d+)", line)
-            assert found, line
-            caller = await Caller.connect((found[1], int(found[2])))
+            process = await _start(_environment(discovery, config))
+            caller = await Caller.connect(await _told(process, "listens"))
             assert (await caller.ask(target="/ready")).status == 200
             assert (await caller.ask("look")).body == b"served"
             async with StubDiscovery() as moved:
@@ -86,3 +104,84 @@
         assert error.decode() == "fawngw: settings is missing or not of type dict: None\n"
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    ("variables", "text"),
+    [
+        ({"NODE_ACCEPT_FD": "three"}, "NODE_ACCEPT_FD is not a descriptor: 'three'"),
+        (
+            {"NODE_ACCEPT_FD": "99"},
+            "descriptor 99 is no socket: [Errno 9]",
+        ),
+        ({"NODE_ACCEPT_FD": "2"}, "NODE_ACCEPT_FD: descriptor 2 is no "),
+        ({"NODE_MANAGEMENT": "here"}, "NODE_MANAGEMENT is not an address and a port: 'here'"),
+        ({"NODE_MANAGEMENT": "taken"}, "NODE_MANAGEMENT cannot be used: "),
+        ({"NODE_ACCEPT_FD": "bound"}, "is no listening TCP socket"),
+    ],
+)
+def test_a_bad_second_address_or_listener_is_one_line_and_exit_code_2(
+    tmp_path: Path, variables: dict[str, str], text: str
+) -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, StubDiscovery() as discovery:
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps(_configuration(server)))
+            with socket.socket() as bound:
+                bound.bind((HOST, 0))
+                named = {"bound": str(bound.fileno()), "taken": server.address}
+                given = {name: named.get(value, value) for name, value in variables.items()}
+                process = await _start(
+                    {**_environment(discovery, config), **given}, pass_fds=(bound.fileno(),)
+                )
+                _, error = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+            assert process.returncode == 2
+            assert error.decode().count("\n") == 1 and text in error.decode()
+
+    run(main())
+
+
+def test_a_new_version_takes_over_under_load_and_no_request_is_turned_back(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps(_configuration(server)))
+            with socket.socket() as listener:
+                listener.bind((HOST, 0))
+                listener.listen(64)
+                address = listener.getsockname()
+                descriptor = listener.fileno()
+                common = {**_environment(discovery, config), "NODE_ACCEPT_FD": str(descriptor)}
+                started = []
+                for _ in range(2):
+                    process = await _start({**common, "NODE_MANAGEMENT": f"{HOST}:0"}, (descriptor,))
+                    started.append((process, await _told(process, "managed")))
+                    tell(await discovery.watch(), listing(2, row("a", server.address)))
+                    await _told(process, "listens")
+                (old, _), (new, managed) = started
+                kept = await Caller.connect(address)
+                done, asked = asyncio.Event(), 0
+
+                async def ask_on_new_connections() -> None:
+                    nonlocal asked
+                    while not done.is_set():
+                        caller = await Caller.connect(address)
+                        assert (await caller.ask("look")).body == b"served"
+                        caller.close()
+                        asked += 1
+
+                load = [asyncio.create_task(ask_on_new_connections()) for _ in range(4)]
+                assert (await kept.ask("look")).status == 200
+                old.send_signal(signal.SIGTERM)
+                await asyncio.wait_for(old.communicate(), PATIENCE_S)
+                assert old.returncode == 0
+                done.set()
+                await asyncio.gather(*load)
+                assert asked and len(server.received) == asked + 1
+                caller = await Caller.connect(managed)
+                assert (await caller.ask(target="/api/ready")).status == 200
+                new.send_signal(signal.SIGTERM)
+                await asyncio.wait_for(new.communicate(), PATIENCE_S)
+                assert new.returncode == 0
+
+    run(main())
