--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -22,6 +22,7 @@
     AnswerStarted,
     Arrival,
     AttemptEnded,
+    BodySent,
     Cancel,
     CloseIdle,
     Effect,
@@ -346,9 +347,11 @@
     hold_until: float = 0.0
     waiting: bool = False
     started: bool = False
+    streamed: bool = False  # its body is passed on as it comes
+    spent: bool = False  # and has gone
 
     def repeatable(self) -> bool:
-        return self.kind.effect is not Effect.UNSAFE
+        return self.kind.effect is not Effect.UNSAFE and not self.streamed
 
 
 # Kinds of internal timers.
@@ -367,6 +370,8 @@
         self._arms: list[Server] = []  # in the automaton's order
         self._requests: dict[RequestId, Request] = {}
         self._attempts: dict[tuple[RequestId, int], tuple[Server, Attempt]] = {}
+        # Those whose server does not work on them: a long body still goes up, or a long answer comes down.
+        self._moving: dict[tuple[RequestId, int], tuple[Server, Attempt]] = {}
         self._queue: list[tuple[float, int, Request]] = []  # by worth, then age
         self._timers: list[tuple[float, int, int, RequestId | ServerId | None]] = []
         self._wake = math.inf
@@ -432,6 +437,8 @@
             self._on_probe(event)
         elif isinstance(event, AnswerStarted):
             self._on_started(event)
+        elif isinstance(event, BodySent):
+            self._on_body_sent(event)
         if self._now < self._cold_until:
             self._follow_capacity()
         self._drain()
@@ -572,11 +579,12 @@
             kind,
             event.class_index,
             now,
-            now + event.budget_ms,
+            math.inf if event.streamed else now + event.budget_ms,
             units,
             worth,
             self._seq,
             self._rng.random(),
+            streamed=event.streamed,
         )
         self._requests[request.id] = request
         self._retry_tokens = min(RETRY_MOST, self._retry_tokens + RETRY_EARN)
@@ -762,7 +770,7 @@
 
     def _permitted(self, request: Request, server: Server) -> bool:
         """Rules 2 and 3: whether a further attempt of this request may go to this server at all."""
-        if not server.listed:
+        if not server.listed or request.spent:
             return False
         risky = [a for a in request.attempts if a.may_have_run()]
         if not risky:
@@ -827,14 +835,21 @@
         attempt = Attempt(server.entry, now, request.units)
         request.attempts.append(attempt)
         request.out += 1
-        server.out[request.id, number] = now
-        self._attempts[request.id, number] = (server, attempt)
+        if request.streamed:
+            self._moving[request.id, number] = (server, attempt)
+        else:
+            self._out((request.id, number), server, attempt)
         server.tokens -= request.units
         self._sent.add(request.units, now)
         self._watch(request)
         self._actions.append(Send(request.id, server.entry.server))
         return True
 
+    def _out(self, key: tuple[RequestId, int], server: Server, attempt: Attempt) -> None:
+        """From now on the attempt is a call that waits at its server."""
+        server.out[key] = self._now
+        self._attempts[key] = (server, attempt)
+
     def _watch(self, request: Request) -> None:
         """Look again when the attempt is late, if another could still be answered."""
         patience = self._class_patience[request.class_index]
@@ -897,23 +912,28 @@
 
     def _on_ended(self, event: AttemptEnded) -> None:
         key = (event.request, event.attempt)
-        found = self._attempts.pop(key, None)
+        moving = self._moving.pop(key, None)
+        found = moving or self._attempts.pop(key, None)
         if found is None:
             raise UnexpectedEvent(f"attempt {event.attempt} of request {event.request} was not out")
         server, attempt = found
         attempt.ended = event.outcome
         self._note_load(server, event.load)
-        del server.out[key]
+        server.out.pop(key, None)
         request = self._requests.get(event.request)
-        self._judge(server, attempt, event, request)
+        if moving is None or event.outcome is Outcome.FULL:
+            self._judge(server, attempt, event, request)
+        elif event.outcome not in (Outcome.OK, Outcome.REJECTED, Outcome.CANCELLED, Outcome.MOOT):
+            self._failed(server, event.outcome)  # its time tells of the client as much as of the server
         if request is None:
             return
         request.out -= 1
+        request.spent |= event.spent
         if event.finished:
             del self._requests[request.id]
             self._leave_queue(request)
             self._abandon(request, event.attempt)
-        elif not request.out and not request.waiting:
+        elif not request.out and not request.waiting and not request.started:
             self._again_or_finish(request, event.outcome)
 
     def _note_load(self, server: Server, load: Sequence[float]) -> None:
@@ -956,19 +976,7 @@
             self._rest(server, LATE_REST * elapsed)
         current = attempt.entry.started_ms == server.entry.started_ms
         if outcome is Outcome.OK:
-            server.heard = self._now
-            server.ceiling += CEILING_UP / server.ceiling
-            self._patience.observe(elapsed)
-            aim = self._aim
-            if request is not None:
-                self._class_patience[request.class_index].observe(elapsed)
-                aim = request.kind.aim_ms
-            # Heavy work says little of its server or the load: what the cost hint foretold is half taken out.
-            usual = elapsed / (0.5 + 0.5 * attempt.units)
-            self._calm_down(usual)
-            self._feel(elapsed / aim)
-            self.automaton.learn(name, usual)
-            self._succeeded(server)
+            self._served_in(elapsed, server, attempt, request)
         elif outcome is Outcome.FULL or (
             outcome is Outcome.CONNECT_FAILED and self._now - server.heard < self._patience.late()
         ):
@@ -996,6 +1004,22 @@
             if current and elapsed >= self._patience.late():
                 self._failed(server, outcome)
 
+    def _served_in(self, elapsed: float, server: Server, attempt: Attempt, request: Request | None) -> None:
+        """What an answer, or the beginning of a long one, says of its server, its class and the load."""
+        server.heard = self._now
+        server.ceiling += CEILING_UP / server.ceiling
+        self._patience.observe(elapsed)
+        aim = self._aim
+        if request is not None:
+            self._class_patience[request.class_index].observe(elapsed)
+            aim = request.kind.aim_ms
+        # Heavy work says little of its server or the load: what the cost hint foretold is half taken out.
+        usual = elapsed / (0.5 + 0.5 * attempt.units)
+        self._calm_down(usual)
+        self._feel(elapsed / aim)
+        self.automaton.learn(server.entry.server, usual)
+        self._succeeded(server)
+
     def _rest(self, server: Server, span: float) -> None:
         """Skip a server for a while, unless too many of those that would take its calls are out already.
 
@@ -1064,16 +1088,32 @@
             self._schedule_return(server)
 
     def _on_started(self, event: AnswerStarted) -> None:
-        found = self._attempts.get((event.request, event.attempt))
+        key = (event.request, event.attempt)
+        found = self._attempts.get(key)
         if found is None:
+            if key in self._moving:
+                return  # the server answers before it has the whole body
             raise UnexpectedEvent(f"attempt {event.attempt} of request {event.request} was not out")
-        found[0].heard = self._now
+        server, attempt = found
+        server.heard = self._now
         request = self._requests.get(event.request)
+        if request is not None and not request.kind.stream:
+            # A long answer: the work is done, and how long the bytes take is the client's affair.
+            self._moving[key] = self._attempts.pop(key)
+            del server.out[key]
+            self._served_in(event.elapsed_ms, server, attempt, request)
         if request is not None:
             request.started = True
             self._leave_queue(request)
             self._abandon(request, event.attempt)
 
+    def _on_body_sent(self, event: BodySent) -> None:
+        key = (event.request, event.attempt)
+        found = self._moving.pop(key, None)
+        if found is None:
+            raise UnexpectedEvent(f"attempt {event.attempt} of request {event.request} was sending no body")
+        self._out(key, *found)
+
     def _on_gone(self, event: RequestGone) -> None:
         request = self._requests.pop(event.request, None)
         if request is not None:  # else it finished a moment ago
--- a/fawngw/interface.py
+++ b/fawngw/interface.py
@@ -192,11 +192,20 @@
     cost_hint_ms: float | None = None
     is_repeat: bool = False
     is_write: bool = False
+    streamed: bool = False  # its body is too long to be held: time runs from its last byte, see BodySent
+
+
+@dataclass(frozen=True, slots=True)
+class BodySent:
+    """A streamed body has reached the attempt's server to the last byte: from now on the server works."""
+
+    request: RequestId
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
 class AnswerStarted:
-    """A streamed answer has begun; the attempt now belongs to the client."""
+    """A streamed or long answer has begun; the attempt now belongs to the client."""
 
     request: RequestId
     attempt: int
@@ -215,6 +224,7 @@
     elapsed_ms: float
     finished: bool
     load: tuple[float, ...] = ()
+    spent: bool = False  # a streamed body went with it and cannot be sent again
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,7 +260,15 @@
 
 
 Event = (
-    ServerList | Arrival | AnswerStarted | AttemptEnded | RequestGone | ProbeEnded | TimerFired | PeerMessage
+    ServerList
+    | Arrival
+    | BodySent
+    | AnswerStarted
+    | AttemptEnded
+    | RequestGone
+    | ProbeEnded
+    | TimerFired
+    | PeerMessage
 )
 
 
--- a/fawngw/node/drain.py
+++ b/fawngw/node/drain.py
@@ -105,6 +105,7 @@
             over = callers.empty()
         else:
             over = past >= max(NEW_S, self._serve_s) and not callers.busy() and callers.quiet_s() >= SILENT_S
-        if over or past >= self._last_s + SILENT_S:
+        # A long answer has no deadline: it goes on until it is whole, or SIGKILL comes.
+        if over or (past >= self._last_s + SILENT_S and not callers.streaming()):
             self._timer.cancel()
             self._left()
--- a/fawngw/node/management.py
+++ b/fawngw/node/management.py
@@ -37,7 +37,7 @@
 
     def __init__(self, management: Management) -> None:
         self._management = management
-        self._reader = Reader(self._on_message, requests=True)
+        self._reader = Reader(self, requests=True)
         self._transport: asyncio.Transport | None = None
         self._answered = False
         self._timer: asyncio.TimerHandle | None = None
@@ -55,7 +55,19 @@
         except MessageError:
             self._answer(Reply(400))
 
-    def _on_message(self, message: Message) -> None:
+    def on_head(self, message: Message) -> None:
+        """Nothing hangs on a head alone."""
+
+    def on_long(self, message: Message) -> None:
+        self._answer(Reply(400))
+
+    def on_piece(self, piece: bytes) -> None:
+        """Of a call that has had its answer."""
+
+    def on_end(self, message: Message) -> None:
+        """Of a call that has had its answer."""
+
+    def on_whole(self, message: Message) -> None:
         try:
             reply = self._management.reply(message)
         except Exception:
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -8,17 +8,21 @@
 
 import asyncio
 import logging
+import math
 import signal
 import socket
 import time
 from collections import deque
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from fawngw.decide import Balancer
 from fawngw.interface import (
     Action,
+    AnswerStarted,
     Arrival,
     AttemptEnded,
+    BodySent,
     Cancel,
     CloseIdle,
     Effect,
@@ -44,7 +48,7 @@
 from fawngw.node.config import Config, ConfigError, read_discovery
 from fawngw.node.discovery import Discovery, Listing
 from fawngw.node.drain import Drain, Phase
-from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, load_report, request_head
+from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, Sink, load_report, request_head
 from fawngw.node.management import Management, Reply
 from fawngw.node.metrics import Metrics
 from fawngw.node.servers import Call, Servers
@@ -86,11 +90,17 @@
     message: Message
     exchange: Exchange
     effect: Effect
-    deadline: float
-    timer: asyncio.TimerHandle
+    budget: float  # milliseconds from its last byte on
     head: bytes
+    deadline: float = math.inf  # while a long body comes in
+    timer: asyncio.TimerHandle | None = None
     attempts: int = 0
-    calls: dict[int, Call] = field(default_factory=dict)  # those that are out
+    started: int | None = None  # the attempt whose long answer the caller is getting
+    started_ms: float = 0.0  # which had taken so long until then
+
+    @property
+    def uploading(self) -> bool:
+        return self.message.upload is not None and not self.message.upload.ended
 
 
 class Node:
@@ -274,20 +284,21 @@
 
     def _take(self, ask: Ask, exchange: Exchange) -> None:
         """A valid request of a caller's: from here on it is owed one answer."""
-        now = self._clock.now()
         self._last_id += 1
         request = self._last_id
-        budget = ask.budget_ms
-        budget = min(budget, 1000.0 * self._drain.time_left_s())
-        budget = max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * budget))
-        self._requests[request] = Pending(
+        budget = self._budget(ask.budget_ms)
+        pending = self._requests[request] = Pending(
             ask.message,
             exchange,
             self._config.settings.classes[ask.class_index].effect,
-            now + budget,
-            self._loop.call_later((budget + GUARD_MS) / 1000.0, self._overdue, request),
+            budget,
             request_head(ask.message, self._host),
         )
+        upload = ask.message.upload
+        if upload is None:
+            self._set_deadline(request, pending)
+        else:
+            upload.on_end = lambda: self._body_came(request, ask.budget_ms)
         exchange.on_gone = lambda: self._gone(request)
         self._post(
             Arrival(
@@ -298,14 +309,35 @@
                 ask.key,
                 ask.cost_hint_ms,
                 ask.is_repeat,
+                streamed=upload is not None,
             )
         )
 
+    def _budget(self, asked_ms: float) -> float:
+        """The time that the module has for a request whose last byte is here."""
+        budget = min(asked_ms, 1000.0 * self._drain.time_left_s())
+        return max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * budget))
+
+    def _set_deadline(self, request: RequestId, pending: Pending) -> None:
+        pending.deadline = self._clock.now() + pending.budget
+        pending.timer = self._loop.call_later((pending.budget + GUARD_MS) / 1000.0, self._overdue, request)
+
+    def _body_came(self, request: RequestId, asked_ms: float) -> None:
+        """The last byte of a long body is here: its time begins."""
+        pending = self._requests.get(request)
+        if pending is not None and pending.started is None:
+            pending.budget = self._budget(asked_ms)
+            self._set_deadline(request, pending)
+            call = self._calls.get((request, pending.attempts - 1))
+            if call is not None:
+                call.expire_in(pending.budget / 1000.0)
+
     def _close(self, request: RequestId) -> Pending | None:
         """Strike a request off the table; None if it has been answered already."""
         pending = self._requests.pop(request, None)
         if pending is not None:
-            pending.timer.cancel()
+            if pending.timer is not None:
+                pending.timer.cancel()
             pending.exchange.on_gone = None
             if self._handling:
                 self._struck[request] = pending
@@ -327,8 +359,14 @@
             pending.exchange.answer(status, body, extra)
 
     def _gone(self, request: RequestId) -> None:
-        if self._close(request) is not None:
-            self._post(RequestGone(request))
+        pending = self._close(request)
+        if pending is None:
+            return
+        self._post(RequestGone(request))
+        if pending.uploading or pending.started is not None:
+            # Neither can become whole any more, whatever the module may withdraw.
+            for key in [key for key in self._calls if key[0] == request]:
+                self._calls[key].give_up(Outcome.CANCELLED)
 
     def _overdue(self, request: RequestId) -> None:
         """The module owed an answer by now: the caller gets one all the same, before its time is over."""
@@ -359,10 +397,21 @@
             return
         timeout = min(action.timeout_ms, left) if action.timeout_ms > 0 else left
         sent = self._clock.now()
-        head, message = pending.head, pending.message
+        head, message, upload = pending.head, pending.message, pending.message.upload
 
         def render(seconds: float) -> bytes:
-            return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, seconds, message.body)
+            wait = seconds if upload is None else pending.budget / 1000.0
+            return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, wait, message.body)
+
+        def written() -> None:
+            nonlocal sent
+            self._metrics.tried()
+            if upload is not None and pending.started is None:
+                sent = self._clock.now()  # before that its server had no work to do
+                self._post(BodySent(request, number))
+
+        def begin(answer: Message, pace: Callable[[bool], None]) -> Sink | None:
+            return self._begin(request, number, server, self._clock.now() - sent, answer, pace)
 
         def done(outcome: Outcome, answer: Message | None) -> None:
             if outcome is not Outcome.OK:
@@ -376,18 +425,42 @@
                     self._clock.now() - sent,
                     call.path,
                 )
-            self._ended(request, number, server, sent, outcome, answer)
+            self._ended(
+                request, number, server, sent, outcome, answer, spent=upload is not None and upload.spent
+            )
 
         call = self._servers.call(
             server,
             render,
             timeout / 1000.0,
             done,
-            repeatable=pending.effect is not Effect.UNSAFE,
-            on_written=self._metrics.tried,
+            repeatable=pending.effect is not Effect.UNSAFE and upload is None,
+            on_written=written,
+            begin=begin,
+            upload=upload,
         )
         self._calls[request, number] = call
 
+    def _begin(
+        self,
+        request: RequestId,
+        number: int,
+        server: ServerId,
+        elapsed: float,
+        answer: Message,
+        pace: Callable[[bool], None],
+    ) -> Sink | None:
+        """A long answer has begun: from here on this attempt is the caller's, and none beside it."""
+        pending = self._requests.get(request)
+        if pending is None or pending.started is not None:
+            return None
+        if pending.timer is not None:
+            pending.timer.cancel()
+        pending.started, pending.started_ms = number, elapsed
+        pending.exchange.begin(answer, pace)
+        self._post(AnswerStarted(request, number, server, elapsed))
+        return pending.exchange
+
     def _ended(
         self,
         request: RequestId,
@@ -396,15 +469,25 @@
         sent: float,
         outcome: Outcome,
         answer: Message | None,
+        *,
+        spent: bool,
     ) -> None:
         self._calls.pop((request, number), None)
-        if outcome is Outcome.OK and answer is not None:
+        pending = self._requests.get(request)
+        elapsed = self._clock.now() - sent
+        if pending is not None and pending.started == number:
+            elapsed = pending.started_ms
+            self._close(request)
+            if outcome is Outcome.OK:
+                pending.exchange.last()
+            else:
+                pending.exchange.break_off()
+        elif outcome is Outcome.OK and answer is not None and (pending is None or pending.started is None):
             kind = answer.headers.get(CONTENT_TYPE)
             self._finish(request, 200, answer.body, b"Content-Type: %s\r\n" % kind if kind else b"")
-        elapsed = self._clock.now() - sent
         finished = request not in self._requests
         load = load_report(answer, self._config.settings.load_columns)
-        self._post(AttemptEnded(request, number, server, outcome, elapsed, finished, load))
+        self._post(AttemptEnded(request, number, server, outcome, elapsed, finished, load, spent))
 
     def _probe(self, server: ServerId) -> None:
         sent = self._clock.now()
@@ -437,7 +520,9 @@
     def _telemetry(self) -> Reply:
         balancer = self._balancer
         figures = self._metrics.render(
-            active=len(self._requests), pool_size=balancer.pool_size, pool_ejected=balancer.pool_ejected
+            active=sum(not pending.uploading for pending in self._requests.values()),
+            pool_size=balancer.pool_size,
+            pool_ejected=balancer.pool_ejected,
         )
         return Reply(200, figures)
 
@@ -447,7 +532,7 @@
 
     def _fail_rest(self) -> None:
         """Few moments are left before SIGKILL: an answer that promises nothing beats none."""
-        for request in list(self._requests):
+        for request in [r for r, pending in self._requests.items() if pending.started is None]:
             self._answer_fault(request)
 
 
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -15,7 +15,7 @@
 
 from fawngw.interface import Outcome, Readiness, ServerId
 from fawngw.node.discovery import Listing
-from fawngw.node.http import NOT_RUN, Message, MessageError, Reader
+from fawngw.node.http import NOT_RUN, Message, MessageError, Reader, Sink, Upload, chunk
 
 log = logging.getLogger(__name__)
 
@@ -23,10 +23,13 @@
 EARLY_PART = 0.2  # of the idle time after which one was found lost: where some are closed, others drop sooner
 SWEEP_S = 1.0
 AT_ONCE_S = 0.05  # a break this soon follows from what came before it: no work and no idle time is so short
+STUCK_S = 30.0  # without a byte of a long body, or room for one: a slow peer may pause for seconds
+HOLD_S = 0.25  # an answer of unknown length is held for so long, or to a full hold, before it is passed on
 TRUST_S = 10.0  # without a new sign of it, trust in idle connections doubles in this time
 
 Done = Callable[[Outcome, Message | None], None]
 Render = Callable[[float], bytes]
+Begin = Callable[[Message, Callable[[bool], None]], Sink | None]
 
 
 class Call:
@@ -36,36 +39,65 @@
         "_done",
         "_loop",
         "_timer",
+        "begin",
         "connection",
         "deadline",
         "ended",
         "on_written",
         "path",
         "render",
+        "started",
+        "upload",
         "written",
     )
 
     def __init__(
-        self, render: Render, timeout_s: float, done: Done, on_written: Callable[[], None] | None = None
+        self,
+        render: Render,
+        timeout_s: float,
+        done: Done,
+        *,
+        on_written: Callable[[], None] | None = None,
+        begin: Begin | None = None,
+        upload: Upload | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self.render = render
-        self.deadline = self._loop.time() + timeout_s
         self.connection: Connection | None = None
-        self.written = False
+        self.written = False  # its last byte may have reached the server
+        self.started = False  # its answer is long and has begun
         self.on_written = on_written
+        self.begin = begin  # takes a long answer and the means to pace it; None where only a status is asked
+        self.upload = upload
         self.path = "not written"  # which connection it went out on, for the log
         self.ended = False
         self._done = done
-        self._timer = self._loop.call_later(timeout_s, self._time_out)
+        self._timer: asyncio.TimerHandle | None = None
+        self.deadline = math.inf
+        if upload is None or upload.ended:
+            self.expire_in(timeout_s)
+
+    def expire_in(self, timeout_s: float) -> None:
+        """Wait so long from now on."""
+        self.deadline = self._loop.time() + timeout_s
+        if not self.ended and not self.started:
+            self._timer = self._loop.call_later(timeout_s, self._time_out)
+
+    def start(self, message: Message, pace: Callable[[bool], None]) -> Sink | None:
+        """A long answer has begun: time counts no longer.  Where its pieces go, None if nobody wants them."""
+        self.started = True
+        self._stop_timer()
+        return self.begin(message, pace) if self.begin is not None else None
 
     def end(self, outcome: Outcome, answer: Message | None = None) -> None:
         """The one outcome; later ones are nobody's."""
         if self.ended:
             return
         self.ended = True
-        self._timer.cancel()
+        self._stop_timer()
         self.connection = None
+        if self.upload is not None and self.upload.spent:
+            self.upload.detach()
         self._done(outcome, answer)
 
     def give_up(self, outcome: Outcome) -> None:
@@ -75,12 +107,23 @@
             connection.abandon()
         self.end(outcome)
 
+    def in_chunks(self) -> bool:
+        """Whether its long body is of unknown length."""
+        return self.upload is not None and self.upload.length is None
+
     def leave(self, outcome: Outcome) -> None:
         """Stop waiting, but let the answer come in: a new connection would cost more than its bytes."""
+        if self.started or (self.connection is not None and not self.written):
+            self.give_up(outcome)
+            return
         if not self.ended and self.connection is not None:
             self.connection.leave(self.deadline)
         self.end(outcome)
 
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
     def _time_out(self) -> None:
         self.give_up(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
 
@@ -120,8 +163,14 @@
         self._servers = servers
         self._call: Call | None = None
         self._left: asyncio.TimerHandle | None = None  # the end of the wait for an answer that nobody wants
-        self._reader = Reader(self._on_answer, requests=False)
+        self._reader = Reader(self, requests=False)
         self._transport: asyncio.Transport | None = None
+        self._sink: Sink | None = None  # of a long answer
+        self._held_back = False  # its caller does not read
+        self._choked = False  # the server does not read
+        self._drained: Callable[[], None] | None = None  # once all that was written has gone
+        self._hold: asyncio.TimerHandle | None = None
+        self._moved_at = 0.0  # a piece of a long body last went on
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
@@ -136,8 +185,8 @@
         now = asyncio.get_running_loop().time()
         self._call = call
         call.connection = self
-        call.written = True
-        self._carried_at = now
+        call.written = call.upload is None
+        self._carried_at = self._moved_at = now
         self._idled_s = now - self.idle_since if self._carried else 0.0
         call.path = (
             f"on a connection idle for {1000.0 * self._idled_s:.0f} ms after {self._carried} calls"
@@ -146,9 +195,103 @@
         )
         self._carried += 1
         self._transport.write(call.render(call.deadline - now))
-        if call.on_written is not None:
+        if call.upload is not None:
+            call.upload.attach(self)
+        elif call.on_written is not None:
             call.on_written()
 
+    # A long body on its way to the server.
+
+    def piece(self, data: bytes) -> None:
+        if self._transport is not None and self._call is not None:
+            self._moved_at = asyncio.get_running_loop().time()
+            self._transport.write(chunk(data) if self._call.in_chunks() else data)
+
+    def last(self) -> None:
+        call = self._call
+        if call is None or self._transport is None:
+            return
+        if call.in_chunks():
+            self._transport.write(chunk(b""))
+        call.written = True  # in doubt it ran; it counts as written only once the server's side has it
+        self._drained = call.on_written
+        self._transport.set_write_buffer_limits(0)
+        if not self._transport.get_write_buffer_size():
+            self._all_written()
+
+    def _all_written(self) -> None:
+        drained, self._drained = self._drained, None
+        if drained is not None:
+            assert self._transport is not None
+            self._transport.set_write_buffer_limits()
+            drained()
+
+    def pause_writing(self) -> None:
+        self._choked = True
+        if self._call is not None and self._call.upload is not None:
+            self._call.upload.pace(False)
+
+    def resume_writing(self) -> None:
+        self._choked = False
+        self._moved_at = asyncio.get_running_loop().time()
+        if self._call is not None and self._call.upload is not None:
+            self._call.upload.pace(True)
+            if not self._call.ended:
+                self._all_written()
+
+    # A long answer on its way to the caller.
+
+    def pace(self, go_on: bool) -> None:
+        """Read on, or not, as the caller takes what was read."""
+        if self._transport is None or self._transport.is_closing() or self._held_back is not go_on:
+            return
+        self._held_back = not go_on
+        self._moved_at = asyncio.get_running_loop().time()
+        if go_on:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def stuck(self, now: float) -> bool:
+        """Whether a long body has made no way for long, through no fault of the caller's."""
+        if self._call is None or now - self._moved_at <= STUCK_S:
+            return False
+        uploading = self._call.upload is not None and not self._call.written
+        return (self._sink is not None and not self._held_back) or (uploading and self._choked)
+
+    def on_head(self, message: Message) -> None:
+        if message.status == 200 and message.length is None and self._call is not None:
+            self._hold = asyncio.get_running_loop().call_later(HOLD_S, self._held_long_enough, message)
+
+    def _held_long_enough(self, message: Message) -> None:
+        if self._reader.open_ended and self._call is not None:
+            if self._reader.body_size:
+                self._reader.hand_on()
+            else:
+                self.on_head(message)
+
+    def on_long(self, message: Message) -> None:
+        call = self._call
+        if call is not None and message.status == 200 and call.begin is not None:
+            self._moved_at = asyncio.get_running_loop().time()
+            self._sink = call.start(message, self.pace)
+            if self._sink is None:
+                call.give_up(Outcome.CANCELLED)
+            elif message.body:
+                self._sink.piece(message.body)
+        else:
+            # Only the status counts: reading on would cost more than a new connection.
+            self._answer, self._spoiled = message, True
+
+    def on_piece(self, piece: bytes) -> None:
+        if self._sink is not None and not self._spoiled:
+            self._moved_at = asyncio.get_running_loop().time()
+            self._sink.piece(piece)
+
+    def on_end(self, message: Message) -> None:
+        if self._sink is not None:
+            self._answer = message
+
     def leave(self, deadline: float) -> None:
         """Read the answer of the present call away until then; only after it another call is carried."""
         self._call = None
@@ -156,7 +299,10 @@
         self._servers.left.add(self)
 
     def _wanted(self) -> None:
-        """No answer is to be read away any more."""
+        """No answer is to be read away any more, nor held."""
+        if self._hold is not None:
+            self._hold.cancel()
+            self._hold = None
         if self._left is not None:
             self._left.cancel()
             self._left = None
@@ -165,7 +311,7 @@
     def abandon(self) -> None:
         """Close at once; what still comes in is not read."""
         self._wanted()
-        self._call = None
+        self._call = self._sink = None
         if self._transport is not None:
             self._transport.abort()
 
@@ -194,15 +340,15 @@
         elif self._call is not None and self._carried > 1 and now - self._carried_at < AT_ONCE_S:
             self._servers.keep_alive.lost(self._idled_s, now)
         self._servers.closed(self)
-        self._break()
+        self.break_off()
 
-    def _break(self) -> None:
+    def break_off(self) -> None:
         call = self._call
         self.abandon()
         if call is not None:
-            call.end(Outcome.RESET)
+            call.end(Outcome.RESET if call.written else Outcome.CONNECT_FAILED)
 
-    def _on_answer(self, message: Message) -> None:
+    def on_whole(self, message: Message) -> None:
         if self._answer is None:
             self._answer = message
         else:
@@ -217,11 +363,13 @@
         answer, call = self._answer, self._call
         if answer is None:
             if self._spoiled:
-                self._break()
+                self.break_off()
             return
         self._wanted()
-        self._answer = self._call = None
-        if answer.keep_alive and not self._spoiled and not self._reader.within and self.usable():
+        self._answer = self._call = self._sink = None
+        whole = call is None or call.written  # else the rest of the request has nowhere to go
+        if answer.keep_alive and whole and not self._spoiled and not self._reader.within and self.usable():
+            self.pace(True)
             self._servers.rest(self)
         else:
             self.abandon()
@@ -307,13 +455,15 @@
         *,
         repeatable: bool = True,
         on_written: Callable[[], None] | None = None,
+        begin: Begin | None = None,
+        upload: Upload | None = None,
     ) -> Call:
         """Start one call; its outcome comes by done, once, at the earliest after this returns.
 
         One that is not repeatable goes on an idle connection that may have been dropped only if a probe on
         it is answered first: that costs the server less than the handshake of a new one.
         """
-        call = Call(render, timeout_s, done, on_written)
+        call = Call(render, timeout_s, done, on_written=on_written, begin=begin, upload=upload)
         peer = self._peers.get(server)
         if peer is None:
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
@@ -432,3 +582,7 @@
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
         before = self._loop.time() - self._idle_s
         self._shed([c for c in self._idle() if c.idle_since < before])
+        now = self._loop.time()
+        for connection in [c for c in self._open if c.stuck(now)]:
+            log.warning("server %s: a long body is stuck", connection.peer.name)
+            connection.break_off()
