Let a node fill what fresh load reports show its peers leave unused, until calm is known

Cause: Balancer._limit starts as LIMIT_START times this node's part of the servers (_follow_capacity, _part) and may not grow until calm is known, some 20 mean latencies: a peer that is away leaves its part unused while all its requests come here. Ruled out: jammed servers (p50 600 ms, no strain), the node's room for callers (no such line), the drain itself (0 calls late, 0 not taken).

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -645,7 +645,18 @@
         out far too many or too few over all nodes, so each request carries the chance that settles the
         fraction.
         """
-        return len(self._attempts) + request.chance < self._limit
+        return len(self._attempts) + request.chance < self._limit or self._unused(request)
+
+    def _unused(self, request: Request) -> bool:
+        """Whether servers hold less than all nodes together may let out, by fresh load reports.
+
+        Only until calm is known: up to then the limit is this node's part of a guess for all, and the part of
+        a peer that drains or restarts goes unused, while all its requests come here.
+        """
+        if self._sharers == 1 or self._strain > 1.0 or self._calm_known():
+            return False
+        held = self._held_for_a_share()
+        return held > 0.0 and held + request.chance < LIMIT_START * self._capacity
 
     def _place(self, request: Request, last_resort: bool) -> bool:
         pool = self._pool(request, last_resort)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -502,6 +502,19 @@
         assert abs(play.balancer._limit - LIMIT_START * 10 * part) < 1e-6
 
 
+def test_a_node_whose_peer_is_away_may_fill_what_reports_show_to_be_unused() -> None:
+    """Until calm is known the limit is a guess for all nodes together: what the others hold is told."""
+    for others, expected in ((0.0, LIMIT_START * 4), (0.5 * LIMIT_START, 0.5 * LIMIT_START * 4)):
+        play = make(servers=4, balancers=2, load_columns=("outstanding",))
+        for _ in range(8):
+            request = play.arrive()
+            play.step(2.0)
+            for number in play.live(request):
+                play.end(request, number, Outcome.OK, load=(1.0 + others,))
+        out = [play.arrive() for _ in range(60)]
+        assert abs(sum(1 for r in out if any(True for _ in play.live(r))) - expected) <= 2
+
+
 def test_a_nodes_part_of_a_small_fleet_may_be_less_than_one_server() -> None:
     play = make(servers=10, balancers=10)
     gone = [ServerEntry(bytes([i]), Readiness.DRAINING) for i in range(6)]
