--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from fawngw import Balancer
 from fawngw.decide import BUDGET_PLUS, BUDGET_TIMES, LIMIT_START
 from fawngw.interface import (
+    AnswerStarted,
     Arrival,
     AttemptEnded,
+    BodySent,
     Cancel,
     CloseIdle,
     Effect,
@@ -28,7 +31,7 @@
     Subscribe,
     Tenant,
 )
-from tests.checker import Surrounding
+from tests.checker import Owed, Surrounding
 
 SAFE = RequestClass("r", 1000, 3000)
 UNSAFE = RequestClass("w", 1000, 3000, worth=3.0, effect=Effect.UNSAFE)
@@ -520,3 +523,60 @@
     gone = [ServerEntry(bytes([i]), Readiness.DRAINING) for i in range(6)]
     play.list_of(gone, ListKind.CHANGES)
     assert abs(play.balancer._limit - LIMIT_START * 0.4) < 1e-6
+
+
+# Long bodies.
+
+
+def _streamed(play: Surrounding, kind: RequestClass) -> int:
+    request = play.next_id
+    play.next_id += 1
+    play.owed[request] = Owed(kind, math.inf)
+    play.open.add(request)
+    play.feed(Arrival(request, 0, kind.deadline_ms, streamed=True))
+    return request
+
+
+def test_a_body_on_its_way_up_is_no_call_that_waits_and_gets_no_second_copy() -> None:
+    play = make()
+    serve(play, 60)
+    request = _streamed(play, SAFE)
+    assert not play.balancer._attempts, "it takes a place among the calls that wait"
+    mark = len(play.log)
+    play.step(2 * SAFE.deadline_ms)  # its time has not begun
+    assert not sent_to(play, mark) and not any(isinstance(a, Refuse | Fail) for a in play.log[mark:])
+    play.feed(BodySent(request, 0))
+    assert len(play.balancer._attempts) == 1
+    play.end(request, 0, Outcome.OK)
+    assert not play.balancer._attempts and not play.balancer._requests
+
+
+def test_a_body_that_is_spent_is_refused_and_one_that_is_not_goes_on() -> None:
+    for spent in (True, False):
+        play = make()
+        request = _streamed(play, SAFE)
+        (number,) = play.live(request)
+        server = play.owed[request].attempts[number].entry.server
+        mark = len(play.log)
+        play.owed[request].attempts[number].ended = Outcome.CONNECT_FAILED
+        play.feed(AttemptEnded(request, number, server, Outcome.CONNECT_FAILED, 5.0, False, spent=spent))
+        assert bool(sent_to(play, mark)) is not spent
+        assert any(isinstance(a, Refuse) for a in play.log[mark:]) is spent
+
+
+def test_a_long_answer_that_has_begun_frees_its_place_and_its_end_asks_for_nothing() -> None:
+    for outcome in (Outcome.OK, Outcome.RESET):
+        play = make()
+        serve(play, 60)
+        request = play.arrive()
+        (number,) = play.live(request)
+        server = play.owed[request].attempts[number].entry.server
+        play.step(20.0)
+        play.feed(AnswerStarted(request, number, server, 20.0))
+        play.owed[request].deadline = play.owed[request].attempts[number].limit = math.inf
+        assert not play.balancer._attempts and not play.balancer._servers[server].out
+        play.step(10 * SAFE.deadline_ms)
+        mark = len(play.log)
+        play.owed[request].done_at = play.now  # whole or broken, it is the caller's
+        play.end(request, number, outcome)
+        assert not sent_to(play, mark) and not play.balancer._requests and not play.balancer._moving
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import json
 import os
 import re
@@ -18,10 +19,12 @@
     HOST,
     PATIENCE_S,
     Caller,
+    Received,
     StubDiscovery,
     StubServer,
     listing,
     reply,
+    request,
     row,
     run,
     settings,
@@ -185,3 +188,74 @@
                 assert new.returncode == 0
 
     run(main())
+
+
+def _peak_kb(process: asyncio.subprocess.Process) -> int:
+    """The most memory that the process has held so far."""
+    text = Path(f"/proc/{process.pid}/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+) kB", text)
+    assert found
+    return int(found[1])
+
+
+def test_long_bodies_both_ways_at_once_take_little_memory(tmp_path: Path) -> None:
+    """Six of 32 MB down to callers that read late and six up, under a limit of 48 MB for the whole node."""
+
+    size, several = 32 * 1024 * 1024, 6
+    block = bytes(range(256)) * 1024
+    digest = hashlib.sha256(block * (size // len(block))).digest()
+
+    async def pour(server: StubServer, got: Received, writer: asyncio.StreamWriter) -> None:
+        if got.body:
+            same = hashlib.sha256(got.body).digest() == digest
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" + (b"same" if same else b"else"))
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        for _ in range(size // len(block)):
+            writer.write(block)
+            await writer.drain()
+
+    async def up(address: tuple[str, int]) -> None:
+        caller = await Caller.connect(address)
+        head = request("book", body=b"x")[:-1].replace(b"Length: 1", b"Length: %d" % size)
+        caller.writer.write(head)
+        for _ in range(size // len(block)):
+            caller.writer.write(block)
+            await caller.writer.drain()
+        assert (await caller.answer()).body == b"same"
+
+    async def down(address: tuple[str, int], may_read: asyncio.Event) -> None:
+        caller = await Caller.connect(address)
+        caller.writer.write(request("look"))
+        await asyncio.wait_for(caller.reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+        await asyncio.wait_for(may_read.wait(), 2 * PATIENCE_S)
+        got = hashlib.sha256()
+        left = size
+        while left:
+            piece = await asyncio.wait_for(caller.reader.read(min(left, 1 << 20)), PATIENCE_S)
+            assert piece, "the answer broke off"
+            got.update(piece)
+            left -= len(piece)
+        assert got.digest() == digest
+
+    async def main() -> None:
+        async with StubServer([pour]) as server, StubDiscovery() as discovery:
+            config = tmp_path / "config.json"
+            limits = {"cores": 1.0, "memory_mb": 48, "sockets": 256}
+            config.write_text(json.dumps({**_configuration(server), "limits": limits}))
+            process = await _start(_environment(discovery, config))
+            address = await _told(process, "listens")
+            caller = await Caller.connect(address)
+            assert (await caller.ask("look", target="/ready")).status == 200
+            before = _peak_kb(process)
+            may_read = asyncio.Event()
+            downs = [asyncio.create_task(down(address, may_read)) for _ in range(several)]
+            await asyncio.gather(*[up(address) for _ in range(several)])
+            may_read.set()
+            await asyncio.gather(*downs)
+            assert _peak_kb(process) - before < 24 * 1024, "long bodies were held"
+            process.terminate()
+            await asyncio.wait_for(process.communicate(), PATIENCE_S)
+            assert process.returncode == 0
+
+    run(main())
