--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -19,6 +19,9 @@
 # A watch sends an empty line every 2 s: after two missing ones its machine is cut off, or discovery is down.
 # News counts as told after 6 s whether it came or not, so a new watch must bring it before that.
 SILENCE_S = 4.5
+# A new watch brings its first line at once, or an empty one after 2 s.  After a start beside another process,
+# and after SIGHUP, news counts as told sooner than otherwise.
+FIRST_LINE_S = 2.5
 # Pause before the agent is watched anew: doubled while it fails, and less by chance, as all lose it at once.
 REWATCH_S = 0.25
 REWATCH_MOST_S = 1.0  # beside a silence this still brings the news in time
@@ -208,7 +211,7 @@
             lambda: self._lost(watch),
         )
         self._watch = watch
-        self._expect(self._call_s)
+        self._expect(min(self._call_s, FIRST_LINE_S) if self._pushed else self._call_s)
         try:
             await self._loop.create_connection(lambda: watch, host, port)
         except OSError:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 from fawngw.interface import Action, AttemptEnded, Event, RequestGone
 from fawngw.node.callers import FIRST_S, CallerConnection
 from fawngw.node.discovery import REWATCH_MOST_S, REWATCH_S
+from fawngw.node.node import ADOPT_WAIT_S
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -310,6 +311,21 @@
     run(main())
 
 
+def test_a_watch_that_stalls_from_the_start_is_replaced_sooner() -> None:
+    """News counts as told 4 s after SIGHUP, and 2 s after a new process beside another is ready."""
+
+    async def main() -> None:
+        guarantees = settings()["guarantees"] | {"mustAskInMs": 10_000.0}
+        async with world(known=False, registryMode="pushed", guarantees=guarantees) as w:
+            await w.discovery.watch()
+            timer = w.node._discovery._timer
+            assert timer is not None
+            left = timer.when() - asyncio.get_running_loop().time()
+            assert left + REWATCH_S < ADOPT_WAIT_S + 2.0 < 4.0
+
+    run(main())
+
+
 def test_a_failing_agent_is_watched_anew_with_jittered_pauses_that_grow() -> None:
     """All nodes lose discovery at once: they must not come back in step, nor four times a second."""
 
