--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -252,15 +252,15 @@
 
     def give_up(self) -> None:
         """Waiting is over: an error for a part of a request, else just the end."""
-        now = self.callers.now()
-        log.info(
-            "caller given up %.1f s after connecting, last heard %.1f s ago: %d bytes of a body, %s%s",
-            now - self.opened_at,
-            now - self._heard_at,
-            self._reader.body_size,
-            "in a body" if self._reader.in_body else "in a head" if self._reader.within else "idle",
-            ", does not read" if self._choked else "",
-        )
+        if self._reader.within or self._choked:  # of silent peers there may be hundreds a second
+            now = self.callers.now()
+            log.info(
+                "caller given up %.1f s after connecting, last heard %.1f s ago, %d bytes of a body here%s",
+                now - self.opened_at,
+                now - self._heard_at,
+                self._reader.body_size,
+                ", does not read" if self._choked else "",
+            )
         if self._upload is not None and self._exchanges:
             self._exchanges[-1].fail(408)
         elif self._reader.within and not self._exchanges and not self._deaf:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -3,24 +3,31 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 import time
 
 import pytest
 
+from fawngw.interface import Action, Arrival, AttemptEnded, Cancel, Event, Outcome, Send
 from fawngw.node.management import FIRST_S
 from fawngw.node.metrics import Metrics
 from tests.stubs import (
+    HOST,
     PATIENCE_S,
     Caller,
+    Received,
     StubServer,
     World,
     held,
+    listing,
     reply,
     request,
     reset,
     row,
     run,
     silent,
+    tell,
     world,
 )
 
@@ -77,6 +84,60 @@
     run(main())
 
 
+def test_a_request_with_a_second_copy_is_one_answer_and_two_tries() -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as one:
+
+            async def after_the_first(
+                server: StubServer, got: Received, writer: asyncio.StreamWriter
+            ) -> None:
+                await one.got.wait()
+                await reply("200 OK")(server, got, writer)
+
+            async with (
+                StubServer([after_the_first]) as two,
+                world(row("a", one.address), row("b", two.address)) as w,
+            ):
+                await _ask_both(w, one, two)
+
+    async def _ask_both(w: World, one: StubServer, two: StubServer) -> None:
+        def both(event: Event, now: float) -> list[Action]:
+            if isinstance(event, Arrival):
+                return [Send(event.request, b"a"), Send(event.request, b"b")]
+            if isinstance(event, AttemptEnded) and event.outcome is Outcome.OK:
+                return [Cancel(event.request, 0, answered=True)]
+            return []
+
+        w.node._balancer.handle = both  # type: ignore[method-assign]
+        assert (await (await w.caller()).ask("look")).status == 200
+        assert len(one.received) == len(two.received) == 1
+        figures = await w.figures()
+        assert (figures["edge_node_tries"], figures[_of("look", "ok")]) == (2, 1)
+        one.release.set()
+
+    run(main())
+
+
+def test_two_processes_of_one_node_plan_for_both() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as alone:
+            with socket.socket() as listener:
+                listener.bind((HOST, 0))
+                listener.listen()
+                async with world(row("a", server.address), accept_fd=os.dup(listener.fileno())) as beside:
+                    for w, part in ((alone, 1.0), (beside, 0.5)):
+                        node = w.node
+                        sockets = node._callers._most + node._servers._most_open + node._management._most
+                        assert 0.8 * part * 256 < sockets < 0.95 * part * 256
+                    assert 2 * beside.node._callers.budget.most <= alone.node._callers.budget.most
+                    tell(await beside.discovery.watch(), listing(2, row("a", server.address)))
+                    while not beside.node.ready():
+                        await asyncio.sleep(0)
+                    assert (await (await beside.caller()).ask("look")).status == 200
+
+    run(main())
+
+
 def test_an_attempt_that_never_got_a_connection_is_no_try_and_a_refusal_is_counted() -> None:
     async def main() -> None:
         async with StubServer([silent]) as gone:
