--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -45,6 +45,7 @@
     2.75  # and for the first head: a slow caller takes 2 s for it, the platform wants the rest gone by 3 s
 )
 BODY_S = 2.5  # without a byte of the first body, or behind the least pace
+PIECE_S = 1.5  # the same once the time for the first head is over: more than slow callers take for a piece
 SLOWEST = 32_000.0  # bytes a second of a body: half of what slow callers send
 STALLED_S = 6.0  # for a later request, or for a caller to read its answer
 STUCK_S = 30.0  # for a caller to read on in a long answer: what the system buffers of it may take as long
@@ -198,6 +199,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[Exchange] = deque()
         self._deaf = False  # it has had its last answer; input is read away
+        self._spoilt = False  # what came is no request, so nothing behind it is one
         self._choked = False  # the caller does not read what it gets
         self._upload: Upload | None = None  # the body that is coming in
         self._upload_waits = False  # and cannot go on
@@ -247,8 +249,12 @@
         if self._upload is not None or self.used:
             return now - max(self.since, self._heard_at) > STALLED_S
         # The first request of this peer: what trickles in is held to the least pace.
-        late = now - self._head_at - BODY_S
-        return now - self._heard_at > BODY_S or self._reader.body_size < SLOWEST * late
+        silent, late = now - self._heard_at, now - self._head_at - BODY_S
+        return (
+            silent > BODY_S
+            or (silent > PIECE_S and now - self.opened_at > HEAD_S)
+            or self._reader.body_size < SLOWEST * late
+        )
 
     def give_up(self) -> None:
         """Waiting is over: an error for a part of a request, else just the end."""
@@ -270,7 +276,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._heard_at = self.callers.now()
-        if self._deaf:
+        if self._deaf or self._spoilt:
             return
         if not self._reader.within:
             self.since = self._heard_at
@@ -320,7 +326,7 @@
         self._take(message)
 
     def on_long(self, message: Message) -> None:
-        if not self._deaf:
+        if not self._deaf and not self._spoilt:
             self._upload = message.upload = Upload(message.body, message.length, self._pace_upload)
             message.body = b""
             self._take(message)
@@ -341,7 +347,7 @@
         self._pace()
 
     def _take(self, message: Message) -> None:
-        if self._deaf:
+        if self._deaf or self._spoilt:
             return
         self.used = True
         exchange = Exchange(self, not message.keep_alive, message.version)
@@ -360,6 +366,7 @@
 
     def _answer_early(self, status: int) -> None:
         """Answer what never became a request, then close."""
+        self._spoilt = True
         exchange = Exchange(self, True)
         self._exchanges.append(exchange)
         exchange.answer(status)
@@ -405,10 +412,11 @@
         asyncio.get_running_loop().call_later(LINGER_S, self._linger)
 
     def _linger(self) -> None:
-        """Read away what still comes, for as long as it comes."""
+        """Read away what still comes, for as long as it comes, and let what is unsent go out."""
         now = self.callers.now()
-        unread = self._choked or now - self._heard_at < LINGER_S
-        if unread and now < self._linger_until:
+        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        going = now - self._heard_at < LINGER_S and now < self._linger_until
+        if going or (unsent and now - self.since < STUCK_S):
             asyncio.get_running_loop().call_later(LINGER_S, self._linger)
         else:
             self.drop()
@@ -500,7 +508,7 @@
         self._take = take
         self._ready = ready
         self._most = most
-        self.budget = Budget(most_bytes)
+        self.budget = Budget(max(most_bytes, LONG_BYTES))
         self._refused = 0  # since the last sweep, for want of connections or memory
         self._loop = asyncio.get_running_loop()
         self._open: set[CallerConnection] = set()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -19,6 +19,7 @@
     Received,
     StubServer,
     World,
+    held,
     reply,
     request,
     row,
@@ -340,6 +341,60 @@
     run(main())
 
 
+def test_a_slow_reader_gets_the_end_of_an_answer_that_closes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its connection was ended a second after the last piece, with up to 64 KiB not sent yet."""
+
+    async def main() -> None:
+        monkeypatch.setattr(callers, "LINGER_S", 0.02)
+        monkeypatch.setattr(callers, "LINGER_MOST_S", 0.04)
+        size = 4 * 1024 * 1024
+        pour = written(OK + b"Content-Length: %d\r\n\r\n" % size + bytes(size))
+        loop = asyncio.get_running_loop()
+        async with StubServer([pour]) as server, world(row("a", server.address)) as w:
+            with socket.socket() as caller:
+                caller.setblocking(False)
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+                await loop.sock_connect(caller, w.address)
+                while not w.node._callers._open:
+                    await asyncio.sleep(0)
+                (connection,) = w.node._callers._open
+                assert connection._transport is not None
+                end = connection._transport.get_extra_info("socket")
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+                await loop.sock_sendall(caller, request("look", extra="Connection: close\r\n"))
+                got = 0
+                while data := await loop.sock_recv(caller, 1 << 16):
+                    got += len(data)
+                    if got > size - 500_000:
+                        await asyncio.sleep(0.01)  # all has been written, and waits for this reader
+            assert got > size
+
+    run(main())
+
+
+def test_nothing_behind_what_is_no_request_is_one() -> None:
+    async def main() -> None:
+        async with StubServer([silent, reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            for bad in (request("book", body=b"x", extra="Expect: more\r\n"), b"nonsense\r\n\r\n"):
+                server.received.clear()
+                server.got.clear()
+                server.release.clear()
+                server.behaviours[:] = [held(reply("200 OK", b"first")), reply("200 OK")]
+                caller = await w.caller()
+                caller.writer.write(request("look") + bad)
+                await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+                caller.writer.write(request("look"))
+                while not any(len(c._exchanges) == 2 for c in w.node._callers._open):
+                    await asyncio.sleep(0)
+                server.release.set()
+                assert (await caller.answer()).body == b"first"
+                assert (await caller.answer()).status in (400, 417)
+                assert await caller.ended()
+                assert len(server.received) == 1
+
+    run(main())
+
+
 # ------------------------------------------------------------ requests
 
 
@@ -603,6 +658,9 @@
                 await asyncio.sleep(0)
             assert body.stalled(body._heard_at + BODY_S + 0.01), "a body that stands still is given up"
             begin = body._head_at
+            body._head_at = body._heard_at = body.opened_at + 0.5
+            assert body.stalled(body.opened_at + HEAD_S + 0.01), "half a body, then nothing"
+            body._head_at = begin
             for second in (1, 2, 3, 4, 8):  # 64 kB a second
                 body._reader.body_size, body._heard_at = 64_000 * second, begin + second
                 assert not body.stalled(begin + second + 0.5)
