--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -202,6 +202,13 @@
     return behave
 
 
+async def begun(server: StubServer, _: Received, writer: asyncio.StreamWriter) -> None:
+    """The first bytes of a long answer, and the rest when the server is told to."""
+    writer.write(OK + b"Content-Length: %d\r\n\r\n%s" % (len(LONG), LONG[:10]))
+    await server.release.wait()
+    writer.write(LONG[10:])
+
+
 FORMS = {
     "length": written(OK + b"Content-Length: %d\r\n\r\n%s" % (len(LONG), LONG)),
     "chunked": written(
@@ -237,12 +244,7 @@
 
 def test_the_first_bytes_of_a_long_answer_do_not_wait_for_the_rest() -> None:
     async def main() -> None:
-        async def begin(server: StubServer, _: Received, writer: asyncio.StreamWriter) -> None:
-            writer.write(OK + b"Content-Length: %d\r\n\r\n%s" % (len(LONG), LONG[:10]))
-            await server.release.wait()
-            writer.write(LONG[10:])
-
-        async with StubServer([begin]) as server, world(row("a", server.address)) as w:
+        async with StubServer([begun]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
             caller.writer.write(request("book", deadline="0.3"))
             await asyncio.wait_for(caller.reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
@@ -672,12 +674,7 @@
 
 def test_a_long_answer_goes_on_after_sigterm() -> None:
     async def main() -> None:
-        async def begin(server: StubServer, _: Received, writer: asyncio.StreamWriter) -> None:
-            writer.write(OK + b"Content-Length: %d\r\n\r\n%s" % (len(LONG), LONG[:10]))
-            await server.release.wait()
-            writer.write(LONG[10:])
-
-        async with StubServer([begin]) as server, world(row("a", server.address)) as w:
+        async with StubServer([begun]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
             caller.writer.write(request("book"))
             await asyncio.wait_for(caller.reader.readuntil(LONG[:10]), PATIENCE_S)
