--- /dev/null
+++ b/fawngw/lab/engine.py
@@ -0,0 +1,52 @@
+"""A deterministic discrete-event core: a heap of calls, ordered by time, then by when they were planned."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+# [due in ms, number, call or None once cancelled, arguments]: a list, so that cancelling is one assignment.
+Planned = list[Any]
+
+
+class Engine:
+    """Simulated time in milliseconds from 0.
+
+    The same calls planned in the same order run in the same order: ties in time go by the order of planning.
+    """
+
+    __slots__ = ("_heap", "_planned", "handled", "now")
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.handled = 0  # calls made
+        self._planned = 0
+        self._heap: list[Planned] = []
+
+    def at(self, when: float, call: Callable[..., None], *arguments: Any) -> Planned:
+        """Plan a call at a time in ms; one in the past is made next."""
+        self._planned += 1
+        planned = [when if when > self.now else self.now, self._planned, call, arguments]
+        heapq.heappush(self._heap, planned)
+        return planned
+
+    def after(self, delay: float, call: Callable[..., None], *arguments: Any) -> Planned:
+        """Plan a call in so many ms."""
+        return self.at(self.now + delay, call, *arguments)
+
+    @staticmethod
+    def cancel(planned: Planned) -> None:
+        """Take a planned call back; one that was made already stays made."""
+        planned[2] = None
+
+    def run(self, until: float) -> None:
+        """Make all calls due up to this time in ms, those planned meanwhile included."""
+        heap = self._heap
+        while heap and heap[0][0] <= until:
+            when, _, call, arguments = heapq.heappop(heap)
+            if call is not None:
+                self.now = when
+                self.handled += 1
+                call(*arguments)
+        self.now = max(self.now, until)
--- /dev/null
+++ b/fawngw/lab/live/processes.py
@@ -0,0 +1,202 @@
+"""Real node processes: their configuration, their start, their signals and their logs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import signal
+import sys
+from collections import deque
+from pathlib import Path
+from typing import Any
+
+from fawngw.interface import Settings
+from fawngw.lab.live.stand import HOST
+from fawngw.lab.scenario import Scenario
+
+READY_S = 20.0
+LISTENS = re.compile(r"listens on [\d.]+:(\d+)")
+
+
+class NodeError(Exception):
+    """A node that did not start or did not end; one line."""
+
+
+def settings_json(settings: Settings, scenario: Scenario) -> dict[str, Any]:
+    """Settings with the names and the nesting of a node's configuration."""
+    return {
+        "azs": [f"zone-{i}" for i in range(scenario.network.zones)],
+        "locality": settings.zone,
+        "balancers": settings.balancers,
+        "ordinal": settings.ordinal,
+        "stage": settings.stage,
+        "layers": [t.name for t in scenario.tiers],
+        "models": [k.name for k in scenario.tiers[settings.stage].kinds],
+        "registryMode": "pushed",
+        "tickMs": settings.tick_ms,
+        "weights": "off",
+        "worthBy": "work",
+        "overShareWorth": settings.over_share_worth,
+        "guarantees": {
+            "answerSlackMs": settings.answer_slack_ms,
+            "coldMs": settings.cold_ms,
+            "startCapacity": settings.cold_start_share,
+            "stopSendingWithinMs": settings.drain_grace_ms,
+            "fallMultiple": settings.fall_multiple,
+            "overloadForMs": settings.fall_window_ms,
+            "mustAskInMs": settings.must_ask_ms,
+        },
+        "policyLimits": {
+            "cancel": settings.may_cancel,
+            "connIdleMs": scenario.network.idle_ms,
+            "connectTimeoutMs": settings.connect_timeout_ms,
+            "maxRetryAfterMs": settings.max_retry_after_ms,
+            "mayDuplicate": settings.may_duplicate,
+            "probes": settings.may_probe,
+            "retryAfter": settings.retry_after,
+            "tryLimit": settings.max_attempts,
+        },
+        "loadInfo": {"columns": list(settings.load_columns)},
+        "profiles": [
+            {
+                "name": c.name,
+                "aimMs": c.aim_ms,
+                "deadlineMs": c.deadline_ms,
+                "worth": c.worth,
+                "effect": c.effect.value,
+                "group": c.group.value,
+                "windowMs": c.window_ms,
+            }
+            for c in settings.classes
+        ],
+        "tenants": [
+            {"name": t.name, "fraction": t.fraction, "quotaPerS": t.quota_per_s} for t in settings.tenants
+        ],
+    }
+
+
+class NodeProcess:
+    """One node: started again it keeps its address; its log is kept in memory, the last lines of it."""
+
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        settings: dict[str, Any],
+        discovery: str,
+        known: dict[str, Any],
+        seed: int,
+    ) -> None:
+        self.name, self.folder, self.discovery, self.seed = name, folder, discovery, seed
+        self.settings, self.known = settings, known
+        self.port = 0
+        self.up = False
+        self.starts = 0
+        self.log: deque[str] = deque(maxlen=400)
+        self.listener: int | None = None  # a listening socket that every process of it inherits
+        self._process: asyncio.subprocess.Process | None = None
+        self._ending: list[asyncio.subprocess.Process] = []
+        self._reader: asyncio.Task[None] | None = None
+        self._listens = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start it and wait until `GET /ready` says yes; NodeError if it does not within 20 s."""
+        config = self.folder / f"{self.name}-{self.starts}.json"
+        self.starts += 1
+        limits = {"cores": 1.0, "memory_mb": 64, "sockets": 512}
+        seed = f"{self.seed + self.starts:x}"
+        raw = {"seed": seed, "limits": limits, "known": self.known, "settings": self.settings}
+        config.write_text(json.dumps(raw))
+        environment = {
+            **os.environ,
+            "NODE_NAME": self.name,
+            "NODE_LISTEN": f"{HOST}:{self.port}",
+            "NODE_DISCOVERY": self.discovery,
+            "NODE_CONFIG": str(config),
+        }
+        pass_fds: tuple[int, ...] = ()
+        if self.listener is not None:
+            environment["NODE_ACCEPT_FD"] = str(self.listener)
+            pass_fds = (self.listener,)
+        self._listens.clear()
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "fawngw", env=environment, stderr=asyncio.subprocess.PIPE, pass_fds=pass_fds
+        )
+        self._reader = asyncio.create_task(self._read(self._process))
+        try:
+            await asyncio.wait_for(self._until_ready(), READY_S)
+        except TimeoutError:
+            raise NodeError(f"{self.name} is not ready after {READY_S:g} s: {self.last_words()}") from None
+        self.up = True
+
+    def last_words(self) -> str:
+        """The last line of its log."""
+        return self.log[-1] if self.log else "it said nothing"
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        while line := (await process.stderr.readline()).decode(errors="replace").rstrip():
+            self.log.append(line)
+            if (found := LISTENS.search(line)) is not None:
+                self.port = int(found[1])
+                self._listens.set()
+
+    async def _until_ready(self) -> None:
+        process = self._process
+        assert process is not None
+        waits = {asyncio.ensure_future(self._listens.wait()), asyncio.ensure_future(process.wait())}
+        _, late = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in late:
+            wait.cancel()
+        while process.returncode is None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection(HOST, self.port)
+                writer.write(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
+                status = await reader.readline()
+                writer.close()
+                if b" 200" in status:
+                    return
+            await asyncio.sleep(0.02)
+        raise NodeError(f"{self.name} ended with {process.returncode}: {self.last_words()}")
+
+    async def terminate(self, kill_after_s: float) -> int:
+        """SIGTERM, and SIGKILL after a time; the exit code."""
+        process = self._process
+        assert process is not None
+        self.up = False
+        return await self._end(process, kill_after_s)
+
+    async def _end(self, process: asyncio.subprocess.Process, kill_after_s: float) -> int:
+        if process.returncode is None:
+            process.send_signal(signal.SIGTERM)
+            try:
+                await asyncio.wait_for(process.wait(), kill_after_s)
+            except TimeoutError:
+                process.kill()
+        return await process.wait()
+
+    async def upgrade(self, kill_after_s: float) -> int:
+        """A second process takes over the inherited listener; the first one's exit code."""
+        old = self._process
+        assert old is not None and self.listener is not None
+        await self.start()
+        return await self._end(old, kill_after_s)
+
+    async def kill(self) -> None:
+        """SIGKILL, if it still runs."""
+        self.up = False
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+            await self._process.wait()
+        if self._reader is not None:
+            await self._reader
+
+    def memory_mb(self) -> float:
+        """Resident memory now, from /proc; 0 if it has ended."""
+        if self._process is None or self._process.returncode is not None:
+            return 0.0
+        pages = int(Path(f"/proc/{self._process.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
--- /dev/null
+++ b/fawngw/lab/rules.py
@@ -0,0 +1,132 @@
+"""The four rules, checked on every action of every node while a run goes on.
+
+This is a reading of the published pages of its own: it shares no code with the module.  A breach holds the
+whole story of its request, from arrival to last answer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from fawngw.interface import Effect, Outcome, Readiness, RepeatGroup, ServerEntry, ServerId, Settings
+
+if TYPE_CHECKING:
+    from fawngw.lab.nodes import Ask, SimNode
+
+# The outcomes that prove that an attempt never ran, by the protocol page.
+PROOFS = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
+
+
+@dataclass(slots=True)
+class Breach:
+    """A broken rule: when (ms), which, by whom, and the story of the request, a line each."""
+
+    at_ms: float
+    rule: int
+    node: str
+    text: str
+    story: list[str] = field(default_factory=list)
+
+    def lines(self) -> list[str]:
+        """The breach as it is printed."""
+        return [f"{self.at_ms:.1f} ms: rule {self.rule} broken by {self.node}: {self.text}", *self.story]
+
+
+@dataclass(slots=True)
+class Tried:
+    """One attempt in the checker's own books."""
+
+    entry: ServerEntry
+    sent: float
+    outcome: Outcome | None = None
+
+    def may_have_run(self) -> bool:
+        """Nothing proves that it did not."""
+        return self.outcome is None or self.outcome not in PROOFS
+
+
+class Rules:
+    """Keeps what each node was told and holds its actions against it.  Times are ms."""
+
+    def __init__(self, grace_ms: float, slack_ms: float, most: int = 20) -> None:
+        self.breaches: list[Breach] = []
+        self.count = 0
+        self._grace, self._slack, self._most = grace_ms, slack_ms, most
+
+    def _break(self, now: float, rule: int, node: SimNode, text: str, ask: Ask | None) -> None:
+        self.count += 1
+        if len(self.breaches) < self._most:
+            story = ask.story_lines() if ask is not None else []
+            self.breaches.append(Breach(now, rule, node.name, text, story))
+
+    def told(self, node: SimNode, entry: ServerEntry, now: float) -> None:
+        """A node's list has named a server: from now on it knows."""
+        known = node.known.get(entry.server)
+        node.known[entry.server] = entry
+        if entry.readiness is Readiness.READY:
+            node.leaving.pop(entry.server, None)
+        elif known is None or known.readiness is Readiness.READY:
+            node.leaving[entry.server] = now
+
+    def sent(self, node: SimNode, ask: Ask, server: ServerId, settings: Settings, now: float) -> None:
+        """An attempt, before it is entered in the books."""
+        entry = node.known.get(server)
+        if entry is None:
+            self._break(now, 3, node, f"sent to {server!r}, which no list has named", ask)
+            return
+        since = node.leaving.get(server)
+        if since is not None and now - since > self._grace:
+            self._break(now, 3, node, f"sent {now - since:.0f} ms after the node was told it leaves", ask)
+        if ask.answered is not None:
+            self._break(now, 1, node, "sent for a request that has its final answer", ask)
+        if len(ask.tried) >= settings.max_attempts:
+            self._break(now, 2, node, f"more than {settings.max_attempts} attempts", ask)
+        risky = [t for t in ask.tried if t.may_have_run()]
+        if not risky:
+            return
+        kind = ask.kind
+        if not settings.may_duplicate and any(t.outcome is None for t in risky):
+            self._break(now, 2, node, "two attempts at once", ask)
+        if kind.effect is Effect.UNSAFE:
+            self._break(now, 2, node, "an unsafe request sent again, though it may have run", ask)
+        elif kind.effect is Effect.KEYED:
+            first = risky[0]
+            if now - first.sent > kind.window_ms:
+                self._break(now, 2, node, f"{now - first.sent:.0f} ms after the first, past the window", ask)
+            for other in risky:
+                if kind.group is RepeatGroup.ZONE and entry.zone != other.entry.zone:
+                    self._break(now, 2, node, "a repeat in another zone", ask)
+                if kind.group is RepeatGroup.CELL and entry.cell != other.entry.cell:
+                    self._break(now, 2, node, "a repeat in another cell", ask)
+
+    def refused(self, node: SimNode, ask: Ask, now: float) -> None:
+        """A refusal promises that trying again does no harm."""
+        risky = any(t.may_have_run() for t in ask.tried)
+        harmless = ask.kind.effect is Effect.SAFE or (
+            ask.kind.effect is Effect.KEYED and ask.kind.group is RepeatGroup.ALL
+        )
+        if risky and not harmless:
+            self._break(now, 2, node, "refused, though it may have run", ask)
+
+    def answered(self, node: SimNode, ask: Ask, now: float) -> None:
+        """A final answer, before it is entered."""
+        if ask.answered is not None:
+            self._break(now, 1, node, "a second final answer", ask)
+        elif now > ask.deadline + self._slack:
+            self._break(now, 1, node, f"answered {now - ask.deadline:.0f} ms after its deadline", ask)
+
+    def overdue(self, node: SimNode, ask: Ask, now: float) -> None:
+        """The deadline and the slack have passed."""
+        if ask.answered is None and not ask.gone:
+            self._break(now, 1, node, "no final answer", ask)
+
+    def fell(self, node_names: str, server: ServerId, told: float, now: float, cause: SimNode) -> None:
+        """A cold server has fallen; the rule is broken if two thirds of its load came from those who knew."""
+        if told >= 2 / 3:
+            text = f"cold server {server.decode()} pushed over, {told:.0%} by nodes that knew ({node_names})"
+            self._break(now, 4, cause, text, None)
+
+    def bad_action(self, node: SimNode, text: str, ask: Ask | None, now: float) -> None:
+        """An action that the settings or the protocol do not allow."""
+        self._break(now, 0, node, text, ask)
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,338 @@
+"""The lab in simulated time: its queue against theory, its rules against policies that break them."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+
+from fawngw.interface import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    Event,
+    Fail,
+    Outcome,
+    Readiness,
+    Send,
+    ServerList,
+    Settings,
+)
+from fawngw.lab import compare, runs, scenario
+from fawngw.lab.baselines import LeastOutstanding
+from fawngw.lab.cores import Cores, Crowd
+from fawngw.lab.engine import Engine
+from fawngw.lab.faults import Faults
+from fawngw.lab.nodes import Policy
+from fawngw.lab.platform import Platform
+from fawngw.lab.policies import PolicyError, factory, revision
+from fawngw.lab.report import page
+from fawngw.lab.scenario import Crowding, Fault, Scenario, ScenarioError
+
+
+def short(name: str, seconds: float = 6.0, **changes: Any) -> Scenario:
+    """A shipped scenario cut short, with other changes."""
+    return msgspec.structs.replace(scenario.load(name), duration_s=seconds, **changes)
+
+
+def idle() -> None:
+    """A call that nobody waits for."""
+
+
+# ---------------------------------------------------------------- engine and cores
+
+
+def test_calls_are_made_by_time_then_by_plan_and_not_once_cancelled() -> None:
+    engine, made = Engine(), list[str]()
+    engine.at(5.0, made.append, "late")
+    engine.at(2.0, made.append, "first")
+    gone = engine.at(2.0, made.append, "cancelled")
+    engine.at(2.0, made.append, "second")
+    Engine.cancel(gone)
+    engine.run(4.0)
+    assert made == ["first", "second"] and engine.now == 4.0
+    engine.run(9.0)
+    assert made == ["first", "second", "late"] and engine.handled == 3
+
+
+@pytest.mark.parametrize("cores", [1, 3])
+def test_a_queue_waits_as_long_as_theory_says(cores: int) -> None:
+    """M/M/k at 70%: the mean time in the system by Erlang's C formula, to within 6%."""
+    engine, rng = Engine(), Random(4)
+    station = Cores(engine, cores, lambda: 1.0, idle)
+    spent: list[float] = []
+
+    def arrive() -> None:
+        now = engine.now
+        station.compute(rng.expovariate(1 / 10.0), lambda: spent.append(engine.now - now))
+        engine.after(rng.expovariate(0.7 * cores / 10.0), arrive)
+
+    arrive()
+    engine.run(600_000.0)
+    load = 0.7 * cores
+    terms, term = 0.0, 1.0
+    for i in range(cores):
+        terms += term
+        term *= load / (i + 1)
+    waits = term / (1 - 0.7) / (terms + term / (1 - 0.7))
+    expected = 10.0 + waits * 10.0 / (cores * (1 - 0.7))
+    assert abs(sum(spent) / len(spent) / expected - 1.0) < 0.06
+
+
+def test_a_change_of_rate_moves_the_end_of_what_runs() -> None:
+    engine, ends, rate = Engine(), list[float](), [1.0]
+    station = Cores(engine, 1, lambda: rate[0], idle)
+    station.compute(100.0, lambda: ends.append(engine.now))
+    for when, to in ((40.0, 0.0), (70.0, 0.5)):  # 60 are left, nothing for 30 ms, then half as fast
+        engine.at(when, rate.__setitem__, 0, to)
+        engine.at(when, station.retime)
+    engine.run(1000.0)
+    assert ends == [190.0]
+
+
+def test_a_crowd_slows_a_server_until_it_has_rested() -> None:
+    engine, changes = Engine(), list[float]()
+    law = Crowding(waiting_per_core=2.0, after_ms=100.0, slower=3.0, rest_ms=50.0, at_most_ms=1000.0)
+    crowd = Crowd(engine, law, 1, lambda: changes.append(crowd.slower))
+    crowd.watch(3, 1)
+    engine.run(60.0)
+    crowd.watch(1, 1)  # gone before its time: nothing happens
+    engine.run(200.0)
+    assert crowd.slower == 1.0 and not changes
+    crowd.watch(3, 1)
+    engine.run(301.0)
+    assert crowd.slower == 3.0
+    crowd.watch(0, 1)
+    engine.run(400.0)
+    assert crowd.slower == 1.0 and changes == [3.0, 1.0]
+
+
+# ---------------------------------------------------------------- scenarios
+
+
+def test_every_shipped_scenario_loads_and_says_what_it_is() -> None:
+    names = scenario.shipped()
+    assert len(names) >= 12
+    for name in names:
+        loaded = scenario.load(name)
+        assert loaded.name == name and loaded.about
+    assert len({scenario.load(name).digest() for name in names}) == len(names)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("nodes = 0\n", "nodes: Expected `int` >= 1"),
+        ('nodes = "two"\n', "nodes: Expected `int`, got `str`"),
+        ("nodez = 2\n", "mine.toml: Object contains unknown field `nodez`"),
+        ("[traffic]\nrequests_per_min = 5.0\n", "traffic: Object contains unknown field `requests_per_min`"),
+        ("schema = 9\n", "schema: 9 is not known, this version reads 1"),
+        ('[[faults]]\nkind = "flood"\nat_s = 1.0\n', "faults[0].kind: Invalid enum value 'flood'"),
+        ('[[faults]]\nkind = "slow"\nat_s = 99.0\n', "faults[0].at_s: 99.0 is past the end, 40.0"),
+        ('[[faults]]\nkind = "slow"\ntier = "frnt"\nat_s = 1.0\n', "faults[0].tier: 'frnt' is none of"),
+        ("nodes = [\n", "Invalid value"),
+    ],
+)
+def test_a_wrong_scenario_is_one_line_with_file_and_key(tmp_path: Path, text: str, said: str) -> None:
+    file = tmp_path / "mine.toml"
+    head = "" if text.startswith("schema") else "schema = 1\n"
+    file.write_text(f'extends = "calm"\nname = "mine"\n{head}{text}')
+    with pytest.raises(ScenarioError) as error:
+        scenario.load(str(file))
+    line = str(error.value)
+    assert line.startswith(f"{file}: ") and said in line and "\n" not in line
+
+
+def test_scenarios_that_extend_each_other_are_an_error(tmp_path: Path) -> None:
+    (tmp_path / "a.toml").write_text('extends = "b.toml"\n')
+    (tmp_path / "b.toml").write_text('extends = "a.toml"\n')
+    with pytest.raises(ScenarioError, match="extends this file in turn"):
+        scenario.load(str(tmp_path / "a.toml"))
+
+
+# ---------------------------------------------------------------- runs
+
+
+def test_one_seed_is_one_run_on_any_number_of_processes() -> None:
+    played = short("fast-errors", 3.0)
+    one = list(compare.play_all(played, ["module", "random"], [1, 2], jobs=1))
+    two = list(compare.play_all(played, ["module", "random"], [1, 2], jobs=2))
+    assert json.dumps(one, sort_keys=True) == json.dumps(two, sort_keys=True)
+    assert one[0]["goal"] != one[2]["goal"]  # another seed is another run
+
+
+def every_fault() -> tuple[Fault, ...]:
+    kinds = [k for k in scenario.fault_kinds() if k != "zone_loss"]
+    part = 0.2
+    return tuple(
+        Fault(kind, 0.3 * i, for_s=2.0, part=part, size=0.5, down_ms=300.0, steps=2)  # type: ignore[arg-type]
+        for i, kind in enumerate(kinds)
+    )
+
+
+@pytest.mark.parametrize("policy", ["module", "least-outstanding", "p2c-peak-ewma", "true-state"])
+def test_every_policy_keeps_the_rules_through_every_fault(policy: str) -> None:
+    """And each request comes to an end: what goes in comes out."""
+    result = runs.play(short("calm", 8.0, faults=every_fault()), 3, policy)
+    assert result["breaches"] == 0, result["stories"]
+    assert result["requests"] == sum(result["ends"].values()) == len(_wishes(8.0)) > 500
+
+
+def _wishes(seconds: float) -> list[Any]:
+    platform = Platform(short("calm", seconds, faults=every_fault()), 3, factory("random"))
+    return platform.clients.wishes
+
+
+class Twice(LeastOutstanding):
+    """Sends whatever failed again, whether it may have run or not."""
+
+    def _permitted(self, request: Any, arm: Any) -> bool:
+        return True
+
+
+class Deaf(LeastOutstanding):
+    """Goes on sending to servers that drain."""
+
+    def _list(self, event: ServerList) -> None:
+        super()._list(event)
+        self.listed = [a for a in self.arms.values() if a.entry.readiness is not Readiness.GONE]
+
+
+class Mute(LeastOutstanding):
+    """Never answers a request whose attempt has failed."""
+
+    def _ended(self, event: AttemptEnded) -> list[Action]:
+        return [] if event.outcome is not Outcome.OK else super()._ended(event)
+
+
+class Talker(LeastOutstanding):
+    """Fails a request, and sends for it afterwards."""
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        actions = super().handle(event, now)
+        if isinstance(event, Arrival) and event.request == 40:
+            return [Fail(event.request), *actions]
+        return actions
+
+
+class Rusher(LeastOutstanding):
+    """Sends all that it can to servers that have just started."""
+
+    def choose(self, allowed: list[Any], request: Any) -> Any:
+        return max(allowed, key=lambda a: a.entry.started_ms)
+
+    def _warm_enough(self, arm: Any) -> bool:
+        return True
+
+
+@pytest.mark.parametrize(
+    ("broken", "fault", "rule"),
+    [
+        (Twice, Fault("errors", 0.5, part=0.5, size=0.6, for_s=4.0), "rule 2"),
+        (Deaf, Fault("release", 0.5, part=0.4, for_s=1.0, steps=1), "rule 3"),
+        (Mute, Fault("errors", 0.5, part=0.5, size=0.6, for_s=4.0), "rule 1"),
+        (Talker, None, "rule 0"),
+        (Rusher, Fault("crash", 0.5, tier="front", part=0.1, down_ms=200.0), "rule 4"),
+    ],
+)
+def test_a_policy_that_breaks_a_rule_is_found(
+    broken: Callable[[Settings, int], Policy], fault: Fault | None, rule: str
+) -> None:
+    traffic = msgspec.structs.replace(scenario.load("calm").traffic, requests_per_s=300.0)
+    played = short("calm", 9.0, faults=(fault,) if fault else (), traffic=traffic)
+    platform = Platform(played, 1, lambda settings, seed, _platform, _stage: broken(settings, seed))
+    Faults(platform)
+    platform.run()
+    assert any(rule in b.lines()[0] for b in platform.rules.breaches)
+
+
+def test_the_module_beats_plain_choice_where_one_server_is_slow() -> None:
+    results = list(compare.play_all(short("slow-server", 20.0), ["module", "random"], [1, 2], jobs=1))
+    module, plain = compare.rows(results, ["module", "random"])
+    assert module.against is None and plain.against is not None
+    assert plain.against.mean < 0.0 and plain.p99 > module.p99
+
+
+def test_intervals_are_students_and_hold_zero_for_nothing() -> None:
+    found = compare.interval([1.0, 2.0, 3.0, 4.0])
+    assert found.mean == 2.5 and abs(found.high - (2.5 + 3.1824 * 0.6455)) < 1e-3 and found.apart()
+    assert not compare.interval([-1.0, 1.0]).apart() and not compare.interval([5.0]).apart()
+
+
+def test_seeds_are_read_as_they_are_written() -> None:
+    assert compare.seeds("1,4,9-12") == [1, 4, 9, 10, 11, 12]
+    for wrong in ("", "a", "3-", "5-1", "-2"):
+        with pytest.raises(ValueError, match="not seeds"):
+            compare.seeds(wrong)
+
+
+# ---------------------------------------------------------------- what is kept
+
+
+def test_a_run_folder_keeps_runs_and_names_what_is_broken(tmp_path: Path) -> None:
+    played = short("calm", 2.0)
+    folder = runs.Folder(tmp_path / "kept")
+    folder.begin(played)
+    folder.add(runs.play(played, 1, "random"))
+    folder.begin(played)  # the same scenario may go on
+    kept = folder.read()
+    assert [r["policy"] for r in kept] == ["random"]
+    text = page(folder.scenario(), kept)
+    assert text.count("<svg") == 5 and "src=" not in text and 'href="http' not in text
+    with pytest.raises(runs.RunFolderError, match="another scenario, calm"):
+        folder.begin(short("burst", 2.0))
+    with (tmp_path / "kept" / runs.RUNS).open("a") as file:
+        file.write('{"schema": 1, "digest"')
+    with pytest.raises(runs.RunFolderError, match="line 2 is no JSON"):
+        folder.read()
+    with pytest.raises(runs.RunFolderError, match="no run folder"):
+        runs.Folder(tmp_path).read()
+
+
+def test_a_policy_may_be_a_revision_and_must_be_known(tmp_path: Path) -> None:
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "deploy" / "balancer.toml").write_text('policy = ["fawngw/old.py"]\n')
+    (tmp_path / "fawngw").mkdir()
+    source = "from fawngw.interface import Fail\n\n\nclass Balancer:\n    made = Fail\n"
+    (tmp_path / "fawngw" / "old.py").write_text(source)
+    git = ["git", "-c", "user.name=t", "-c", "user.email=t@localhost"]
+    for command in (["init", "-q"], ["add", "."], ["commit", "-qm", "old"]):
+        subprocess.run([*git, *command], cwd=tmp_path, check=True)
+    old = revision("HEAD", tmp_path)
+    assert old.made is Fail and old.__module__.startswith("fawngw_")
+    with pytest.raises(PolicyError, match="rev: "):
+        revision("no-such-name", tmp_path)
+    with pytest.raises(PolicyError, match="nonsense: no such policy; known are module, random"):
+        factory("nonsense")
+
+
+def test_a_node_imports_none_of_the_labs_libraries() -> None:
+    tools = (
+        "aiohttp",
+        "hdrh",
+        "jinja2",
+        "matplotlib",
+        "msgspec",
+        "numpy",
+        "rich",
+        "scipy",
+        "typer",
+        "fawngw.lab",
+    )
+    code = f"import sys, fawngw.__main__, fawngw.drill; print([m for m in {tools} if m in sys.modules])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+def test_sends_are_counted_where_they_went() -> None:
+    result = runs.play(short("calm", 4.0), 1, "round-robin")
+    sent = sum(sum(tier) for second in result["series"]["sends"] for tier in second)
+    assert 0.9 * result["attempts"] <= sent <= result["attempts"]
+    assert isinstance(Send(1, b"a"), Send) and result["latency_ms"]["p50"] > 0
