--- /dev/null
+++ b/fawngw/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `crowpost` command.  It imports the lab and the node; neither imports it."""
--- /dev/null
+++ b/fawngw/cli/lab.py
@@ -0,0 +1,246 @@
+"""`crowpost lab`: play scenarios, compare policies on paired seeds, and report."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from rich.progress import Progress
+from rich.table import Table
+
+from fawngw.cli.terminal import console
+from fawngw.lab.scenario import Scenario, load, shipped
+
+app = typer.Typer(
+    help="Scenarios of a whole platform: simulated, or on loopback sockets.", no_args_is_help=True
+)
+out = console()
+Which = Annotated[str, typer.Argument(help="a shipped scenario by name, or a TOML file", show_default=False)]
+AsJson = Annotated[bool, typer.Option("--json", help="print JSON")]
+OutFolder = Annotated[Path | None, typer.Option("--out", help="keep results in this run folder")]
+Policies = Annotated[str, typer.Option(help="names with commas; see `crowpost lab policies`")]
+DEFAULT_POLICIES = "module,random,round-robin,least-outstanding,p2c-peak-ewma,true-state"
+
+
+@app.command("list")
+def list_scenarios(as_json: AsJson = False) -> None:
+    """The scenarios that come with the package."""
+    found = [load(name) for name in shipped()]
+    if as_json:
+        print(json.dumps([{"name": s.name, "about": s.about, "duration_s": s.duration_s} for s in found]))
+        return
+    table = Table("name", "nodes", "servers", "seconds", "about", box=None)
+    for s in found:
+        servers = "+".join(str(t.servers) for t in s.tiers)
+        table.add_row(s.name, str(s.nodes), servers, f"{s.duration_s:g}", s.about)
+    out.print(table)
+
+
+@app.command()
+def policies() -> None:
+    """The policies that may be played."""
+    from fawngw.lab import baselines
+
+    about = {
+        "module": "the decision module as it stands",
+        "random": baselines.RandomChoice.__doc__,
+        "round-robin": baselines.RoundRobin.__doc__,
+        "least-outstanding": baselines.LeastOutstanding.__doc__,
+        "p2c-peak-ewma": baselines.PeakEwma.__doc__,
+        "true-state": baselines.TrueState.__doc__,
+        "rev:NAME": "the module as it stood at a git revision, e.g. rev:HEAD~5",
+    }
+    for name, text in about.items():
+        out.print(f"{name:18} {(text or '').splitlines()[0]}")
+
+
+@app.command()
+def check(files: Annotated[list[str], typer.Argument(help="scenarios, by name or file")]) -> None:
+    """Check scenarios without playing them."""
+    for name in files:
+        scenario = load(name)
+        out.print(f"{name}: good, digest {scenario.digest()}")
+
+
+@app.command()
+def run(
+    scenario: Which,
+    seed: Annotated[int, typer.Option(min=0)] = 1,
+    policy: Annotated[str, typer.Option(help="see `crowpost lab policies`")] = "module",
+    folder: OutFolder = None,
+    as_json: AsJson = False,
+) -> None:
+    """Play one run in simulated time; exit code 1 if a rule was broken."""
+    from fawngw.lab.runs import Folder, play
+
+    played = load(scenario)
+    kept = None
+    if folder is not None:
+        kept = Folder(folder)
+        kept.begin(played)
+    began = time.perf_counter()
+    result = play(played, seed, policy)
+    took = time.perf_counter() - began
+    if kept is not None:
+        kept.add(result)
+    if as_json:
+        print(json.dumps(result, sort_keys=True))
+    else:
+        show(played, result, took)
+    stories([result])
+
+
+def show(scenario: Scenario, result: dict[str, Any], took: float) -> None:
+    parts, prices = result["parts"], result["prices"]
+    out.print(
+        f"[bold]{scenario.name}[/bold]  seed {result['seed']}  {result['policy']}  played in {took:.1f} s"
+    )
+    out.print(f"G {result['goal']:.3f}   served {result['served']:.3f}", end="")
+    out.print(f"   worst 10 s {parts['worst_window']:.3f} (from {parts['worst_window_from_s']} s)", end="")
+    out.print(f"   worst class {parts['worst_class']:.3f}   worst tenant {parts['worst_tenant']:.3f}")
+    out.print("prices   " + "   ".join(f"{name} {price:.4f}" for name, price in prices.items()))
+    out.print("requests " + "   ".join(f"{end} {count}" for end, count in result["ends"].items()))
+    out.print("latency  " + "   ".join(f"{name} {ms:.0f} ms" for name, ms in result["latency_ms"].items()))
+    out.print(
+        f"calls {result['calls']}   attempts {result['attempts']} ({result['attempts_each']:.2f} a call, "
+        f"{result['copies']} second copies)   handshakes {result['handshakes']}   "
+        f"probes {result['probes']}   servers slow from crowding {result['crowded_s']:.0f} s"
+    )
+
+
+def stories(results: list[dict[str, Any]]) -> None:
+    """Broken rules, whole; exit code 1 if there are any."""
+    broken = [r for r in results if r["breaches"]]
+    for result in broken:
+        print(
+            f"{result['policy']}, seed {result['seed']}: {result['breaches']} broken rules", file=sys.stderr
+        )
+        for story in result["stories"]:
+            print("\n".join(story), file=sys.stderr)
+    if broken:
+        raise typer.Exit(1)
+
+
+@app.command()
+def compare(
+    scenario: Which,
+    policy: Policies = DEFAULT_POLICIES,
+    seeds: Annotated[str, typer.Option(help="3, 1-20 or 1,4,9-12")] = "1-20",
+    jobs: Annotated[int, typer.Option(min=0, help="worker processes; 0: one for each core")] = 0,
+    folder: OutFolder = None,
+    as_json: AsJson = False,
+) -> None:
+    """Play policies on the same seeds; differences from the first with a 95% interval."""
+    from fawngw.lab import compare as tool
+    from fawngw.lab.runs import Folder
+
+    played = load(scenario)
+    names = [name.strip() for name in policy.split(",")]
+    try:
+        numbers = tool.seeds(seeds)
+    except ValueError as error:
+        raise typer.BadParameter(str(error)) from None
+    kept = None
+    if folder is not None:
+        kept = Folder(folder)
+        kept.begin(played)
+    results = []
+    with Progress(console=console(stderr=True), transient=True) as progress:
+        task = progress.add_task(played.name, total=len(names) * len(numbers))
+        for result in tool.play_all(played, names, numbers, jobs):
+            results.append(result)
+            progress.advance(task)
+            if kept is not None:
+                kept.add(result)
+    table = tool.rows(results, names)
+    if as_json:
+        print(json.dumps([asdict(row) for row in table]))
+    else:
+        out.print(f"[bold]{played.name}[/bold]  {len(numbers)} seeds  digest {played.digest()}")
+        out.print(_table(table, names[0]))
+    stories(results)
+
+
+def _table(rows: list[Any], first: str) -> Table:
+    heads = ("policy", "G", f"against {first}, 95%", "served", "against, 95%", "worst tenth")
+    more = ("p50", "p99", "p99.9 ms", "handshakes", "waste", "attempts", "refused", "breaches")
+    table = Table(*heads, *more, box=None)
+    for row in rows:
+        table.add_row(
+            row.policy,
+            f"{row.goal:.3f}",
+            "" if row.against is None else str(row.against) + ("" if row.against.apart() else " ~"),
+            f"{row.served:.3f}",
+            "" if row.against_served is None else str(row.against_served),
+            f"{row.worst_tenth:.3f}",
+            f"{row.p50:.0f}",
+            f"{row.p99:.0f}",
+            f"{row.p999:.0f}",
+            f"{row.handshakes_each:.3f}",
+            f"{row.wasted:.3f}",
+            f"{row.attempts_each:.2f}",
+            f"{row.refused:.3f}",
+            str(row.breaches),
+        )
+    return table
+
+
+@app.command()
+def report(
+    folder: Annotated[Path, typer.Argument(help="a run folder, from --out")],
+    page: Annotated[
+        Path | None, typer.Option(help="the file to write; default: report.html in the folder")
+    ] = None,
+) -> None:
+    """Write one HTML page with plots of a run folder."""
+    from fawngw.lab.report import page as render
+    from fawngw.lab.runs import Folder, RunFolderError
+
+    kept = Folder(folder)
+    runs = kept.read()
+    if not runs:
+        raise RunFolderError(f"{folder}: holds no run")
+    target = page or folder / "report.html"
+    try:
+        target.write_text(render(kept.scenario(), runs), encoding="utf-8")
+    except OSError as error:
+        raise RunFolderError(f"{target}: {error.strerror}") from None
+    out.print(str(target))
+
+
+@app.command()
+def live(
+    scenario: Which,
+    seed: Annotated[int, typer.Option(min=0)] = 1,
+    folder: OutFolder = None,
+    as_json: AsJson = False,
+) -> None:
+    """Play a scenario on loopback sockets around real node processes; exit code 1 if a rule was broken."""
+    from fawngw.lab.live.play import play_live
+    from fawngw.lab.runs import Folder
+
+    played = load(scenario)
+    kept = None
+    if folder is not None:
+        kept = Folder(folder)
+        kept.begin(played)
+    began = time.perf_counter()
+    err = console(stderr=True)
+    result = play_live(played, seed, err.print)
+    if kept is not None:
+        kept.add(result)
+    if as_json:
+        print(json.dumps(result, sort_keys=True))
+    else:
+        show(played, result, time.perf_counter() - began)
+        late = result["generator_late_ms"]
+        out.print(
+            f"requests left late by {late['p50']:.1f} ms (median), {late['p99']:.1f} (99%), "
+            f"{late['most']:.1f} at most   largest node {result['node_memory_mb']:.1f} MB"
+        )
+    stories([result])
--- /dev/null
+++ b/fawngw/cli/main.py
@@ -0,0 +1,36 @@
+"""`crowpost`: the command's entry, and the errors that end it in one line with exit code 2."""
+
+from __future__ import annotations
+
+import sys
+
+import typer
+
+from fawngw.cli.demo import demo
+from fawngw.cli.lab import app as lab
+
+app = typer.Typer(
+    name="crowpost",
+    help="A load balancer node for services that call services, and the lab it is tried in.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+app.add_typer(lab, name="lab")
+app.command()(demo)
+
+
+def main() -> None:
+    """Exit code 0 if all went well, 1 if a rule was broken, 2 with one plain line for what cannot be used."""
+    from fawngw.lab.policies import PolicyError
+    from fawngw.lab.runs import RunFolderError
+    from fawngw.lab.scenario import ScenarioError
+
+    try:
+        app()
+    except (ScenarioError, RunFolderError, PolicyError) as error:
+        print(f"crowpost: {error}", file=sys.stderr)
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,75 @@
+"""The command as its users see it: output, errors of one line, and exit codes."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+SMALL = """schema = 1
+extends = "demo"
+name = "small"
+duration_s = 3.0
+nodes = 1
+
+[[faults]]
+kind = "errors"
+tier = "front"
+part = 0.25
+at_s = 0.5
+for_s = 2.0
+"""
+
+
+def crowpost(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "fawngw.cli.main", *arguments]
+    return subprocess.run(command, capture_output=True, text=True, timeout=120, check=False)
+
+
+@pytest.fixture
+def small(tmp_path: Path) -> str:
+    file = tmp_path / "small.toml"
+    file.write_text(SMALL)
+    return str(file)
+
+
+def test_run_compare_and_report_in_one_folder(small: str, tmp_path: Path) -> None:
+    folder = str(tmp_path / "kept")
+    done = crowpost("lab", "run", small, "--out", folder, "--json")
+    assert done.returncode == 0, done.stderr
+    assert json.loads(done.stdout)["requests"] > 50
+    done = crowpost("lab", "compare", small, "--policy", "module,random", "--seeds", "1-2", "--out", folder)
+    assert done.returncode == 0 and "random" in done.stdout and "[" in done.stdout, done.stderr
+    done = crowpost("lab", "report", folder)
+    assert done.returncode == 0, done.stderr
+    assert (tmp_path / "kept" / "report.html").read_text().startswith("<!doctype html>")
+
+
+@pytest.mark.parametrize(
+    ("arguments", "said"),
+    [
+        (
+            ("lab", "run", "nowhere.toml"),
+            "crowpost: nowhere.toml: no such file, and no shipped scenario: burst",
+        ),
+        (("lab", "run", "calm", "--policy", "best"), "crowpost: best: no such policy; known are module"),
+        (("lab", "report", "/nonexistent"), "crowpost: /nonexistent: no run folder"),
+        (("lab", "compare", "calm", "--seeds", "x"), "not seeds: 'x'"),
+    ],
+)
+def test_what_cannot_be_used_is_said_and_ends_with_2(arguments: tuple[str, ...], said: str) -> None:
+    done = crowpost(*arguments)
+    assert done.returncode == 2 and said in done.stderr and "Traceback" not in done.stderr
+
+
+def test_a_scenario_on_sockets_serves_and_keeps_the_rules(small: str) -> None:
+    """Real nodes before stand-in servers of two tiers, one of which fails half of its calls."""
+    done = crowpost("lab", "live", small, "--json")
+    assert done.returncode == 0, done.stderr
+    result = json.loads(done.stdout)
+    assert result["breaches"] == 0 and sum(result["ends"].values()) == result["requests"] > 50
+    assert result["ends"]["served"] > 0.5 * result["requests"]
+    assert {"p50", "p99", "most"} == set(result["generator_late_ms"])
