--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -581,3 +581,36 @@
         play.owed[request].done_at = play.now  # whole or broken, it is the caller's
         play.end(request, number, outcome)
         assert not sent_to(play, mark) and not play.balancer._requests and not play.balancer._moving
+
+
+def test_heavy_work_is_late_later_by_its_cost_hint() -> None:
+    """Seen in the lab: a twelfth of a calm day's work was second copies of what was merely heavy."""
+    waits = []
+    for hint in (10.0, 80.0):
+        play = make()
+        for _ in range(80):  # light work of an even pace, so that twenty milliseconds are what is usual
+            request = play.arrive(hint=10.0)
+            play.step(20.0)
+            play.end(request, 0, Outcome.OK)
+        request, started = play.arrive(hint=hint), play.now
+        while len(play.owed[request].attempts) < 2:
+            play.step(5.0)
+        waits.append(play.now - started)
+    assert 20.0 < waits[0] <= 80.0 and waits[1] >= 2.0 * waits[0]
+
+
+def test_heavy_work_goes_to_servers_no_slower_than_the_mean_while_one_is_fit() -> None:
+    """Seen in the lab: what was late on a calm day was heavy work on the slow third of the machines."""
+    play = make(servers=4)
+    slow = {bytes([0]), bytes([1])}
+    for i in range(300):
+        heavy = i > 80 and i % 10 == 0
+        request = play.arrive(hint=50.0 if heavy else 10.0)
+        server = play.owed[request].attempts[0].entry.server
+        assert not (heavy and server in slow)
+        play.step((60.0 if server in slow else 20.0) * (2.0 if heavy else 1.0))
+        play.end(request, 0, Outcome.OK)
+    for arm in play.balancer._fleet.arms:  # no quick one is left: the slow ones are better than waiting
+        if arm.entry.server not in slow:
+            arm.rest_until = play.now + 10_000.0
+    assert play.owed[play.arrive(hint=50.0)].attempts[0].entry.server in slow
