--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -14,6 +14,7 @@
 from rich.table import Table
 
 from fawngw.cli.terminal import console
+from fawngw.lab.runs import Folder, RunFolderError
 from fawngw.lab.scenario import Scenario, load, shipped
 
 app = typer.Typer(
@@ -76,13 +77,10 @@
     as_json: AsJson = False,
 ) -> None:
     """Play one run in simulated time; exit code 1 if a rule was broken."""
-    from fawngw.lab.runs import Folder, play
+    from fawngw.lab.runs import play
 
     played = load(scenario)
-    kept = None
-    if folder is not None:
-        kept = Folder(folder)
-        kept.begin(played)
+    kept = _kept(folder, played)
     began = time.perf_counter()
     result = play(played, seed, policy)
     took = time.perf_counter() - began
@@ -95,6 +93,15 @@
     stories([result])
 
 
+def _kept(folder: Path | None, scenario: Scenario) -> Folder | None:
+    """The run folder that results go to, if one is named."""
+    if folder is None:
+        return None
+    kept = Folder(folder)
+    kept.begin(scenario)
+    return kept
+
+
 def show(scenario: Scenario, result: dict[str, Any], took: float) -> None:
     parts, prices = result["parts"], result["prices"]
     out.print(
@@ -137,7 +144,6 @@
 ) -> None:
     """Play policies on the same seeds; differences from the first with a 95% interval."""
     from fawngw.lab import compare as tool
-    from fawngw.lab.runs import Folder
 
     played = load(scenario)
     names = [name.strip() for name in policy.split(",")]
@@ -145,10 +151,7 @@
         numbers = tool.seeds(seeds)
     except ValueError as error:
         raise typer.BadParameter(str(error)) from None
-    kept = None
-    if folder is not None:
-        kept = Folder(folder)
-        kept.begin(played)
+    kept = _kept(folder, played)
     results = []
     with Progress(console=console(stderr=True), transient=True) as progress:
         task = progress.add_task(played.name, total=len(names) * len(numbers))
@@ -199,7 +202,6 @@
 ) -> None:
     """Write one HTML page with plots of a run folder."""
     from fawngw.lab.report import page as render
-    from fawngw.lab.runs import Folder, RunFolderError
 
     kept = Folder(folder)
     runs = kept.read()
@@ -222,13 +224,9 @@
 ) -> None:
     """Play a scenario on loopback sockets around real node processes; exit code 1 if a rule was broken."""
     from fawngw.lab.live.play import play_live
-    from fawngw.lab.runs import Folder
 
     played = load(scenario)
-    kept = None
-    if folder is not None:
-        kept = Folder(folder)
-        kept.begin(played)
+    kept = _kept(folder, played)
     began = time.perf_counter()
     err = console(stderr=True)
     result = play_live(played, seed, err.print)
--- a/fawngw/lab/live/stand.py
+++ b/fawngw/lab/live/stand.py
@@ -62,6 +62,17 @@
 Descend = Callable[[Errand], Awaitable[bool]]
 
 
+async def _shut(server: asyncio.Server | None, handlers: web.Server | None) -> None:
+    """Break all connections, as the end of a process does."""
+    if server is not None:
+        server.close()
+    if handlers is not None:
+        for connection in list(handlers.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await handlers.shutdown(SHUT_S)
+
+
 class LiveServer:
     """One stand-in server.  Its name stays the same over restarts, its port as well."""
 
@@ -130,13 +141,7 @@
         for waiting in self._unheard:
             waiting.cancel()
         self._unheard.clear()
-        if self._server is not None:
-            self._server.close()
-        if self._web is not None:
-            for connection in list(self._web.connections):
-                if connection.transport is not None:
-                    connection.transport.abort()
-            await self._web.shutdown(SHUT_S)
+        await _shut(self._server, self._web)
 
     def row(self) -> dict[str, Any]:
         """Its row in discovery's list."""
@@ -305,13 +310,7 @@
 
     async def stop(self) -> None:
         """End all watches."""
-        if self._server is not None:
-            self._server.close()
-        if self._web is not None:
-            for connection in list(self._web.connections):
-                if connection.transport is not None:
-                    connection.transport.abort()
-            await self._web.shutdown(SHUT_S)
+        await _shut(self._server, self._web)
 
     def listing(self) -> dict[str, Any]:
         """The whole list as it stands."""
