Deal servers to homes evenly, and let the nodes present replace the settings' counts

From twelve nodes on a server was met by two to five of them, as hashes fell. Each turn of nodes now has a deal of its own in which every server lies in exactly one home: the least and the most met differ by one, tested at 1 to 64 nodes and 10 to 2,000 servers. A new event, NodesPresent, takes the place of balancers and ordinal: step sizes, home, limit, what may wait at a server, and quotas follow.

--- a/fawngw/decide/admission.py
+++ b/fawngw/decide/admission.py
@@ -35,8 +35,7 @@
 
     def __init__(self, fleet: Fleet, health: Health) -> None:
         self.fleet, self.health, settings = fleet, health, fleet.settings
-        # What all nodes of the front admit is split over them; further in each node stands for itself.
-        self.sharers = 1 if settings.stage else settings.balancers
+        self.sharers = 1
         self.limit = 0.0  # set by the first list
         self.strain = 0.0
         self.calm = math.inf
@@ -54,8 +53,17 @@
         self._peak = 0.0  # best recent rate of answers a millisecond
         self._peak_at = 0.0
         self._shedding = False
-        shares = [t.quota_per_s / settings.balancers for t in settings.tenants]
-        self._quota = [Bucket(share, share) for share in shares]
+        self._quota = [Bucket(t.quota_per_s, math.inf) for t in settings.tenants]
+        self.follow_nodes()
+
+    def follow_nodes(self) -> None:
+        """What all nodes of the front admit is split over them; further in each node stands for itself."""
+        settings, nodes, before = self.fleet.settings, self.fleet.nodes, self.sharers
+        self.sharers = 1 if settings.stage else nodes
+        self.limit *= before / self.sharers
+        self._peak *= before / self.sharers
+        for tenant, quota in zip(settings.tenants, self._quota, strict=True):
+            quota.per_s = tenant.quota_per_s / nodes
 
     def within_share(self, tenant: int) -> bool:
         """A second's quota for each tenant, at the tier that clients reach."""
@@ -79,7 +87,7 @@
         """
         if self.sharers == 1 or self.strain > 1.0 or self._calm_known():
             return False
-        return 0.0 < self.fleet.held < LIMIT_START * self._capacity - chance
+        return 0.0 < self.fleet.reports.held < LIMIT_START * self._capacity - chance
 
     def _calm_known(self) -> bool:
         """The first answers to come back are the quick ones: a mean of those alone is too calm for long."""
--- a/fawngw/decide/automaton.py
+++ b/fawngw/decide/automaton.py
@@ -34,10 +34,7 @@
     def __init__(self, nodes: int = 1) -> None:
         self.servers: list[ServerId] = []
         self.average: list[float | None] = []  # None: not called yet, counts as the mean of the others
-        self.alpha = min(max(ALPHA, ALPHA_NODES * nodes), ALPHA_MOST)
-        self.theta = 0.0  # the steps are set with the servers
         self.theta_kind = 0.0  # 0 where all are listed as of one kind
-        self._nodes = nodes
         self._index: dict[ServerId, int] = {}
         self._kinds: list[int] = []  # numbered from 0 as they come
         self._weights: list[float] = []
@@ -46,6 +43,7 @@
         self._all: list[WeightedGroup] = []
         self._home: list[WeightedGroup] | None = None
         self._known, self._sum = 0, 0.0  # averages that are known
+        self.set_steps(nodes)
 
     def share(self, i: int) -> float:
         """The probability of a server by its index."""
@@ -185,11 +183,15 @@
         self._scale, self._offset = [1.0] * len(numbers), [0.0] * len(numbers)
         self._home = None
         self._renew(floored(ratios + [unit * weights[s] for s in new], FLOOR_SHARE))
-        if self.servers:
-            of_nodes = THETA_NODES * self._nodes
-            self.theta = min(max(THETA_SHARE, of_nodes) / len(self.servers), THETA_MOST * self.alpha)
-            step = min(of_nodes / len(numbers), THETA_KIND_MOST * self.alpha)
-            self.theta_kind = step if len(numbers) > 1 else 0.0
+        self.set_steps(self._nodes)
+
+    def set_steps(self, nodes: int) -> None:
+        """The step sizes, by the servers and by how many nodes call them."""
+        self._nodes, of_nodes = nodes, THETA_NODES * nodes
+        self.alpha = min(max(ALPHA, ALPHA_NODES * nodes), ALPHA_MOST)
+        self.theta = min(max(THETA_SHARE, of_nodes) / max(len(self.servers), 1), THETA_MOST * self.alpha)
+        step = min(of_nodes / max(len(self._scale), 1), THETA_KIND_MOST * self.alpha)
+        self.theta_kind = step if len(self._scale) > 1 else 0.0
 
     def _renew(self, shares: list[float]) -> None:
         """Take the shares themselves as weights."""
--- a/fawngw/decide/balancer.py
+++ b/fawngw/decide/balancer.py
@@ -60,6 +60,7 @@
             api.ProbeEnded: self._health.on_probe,
             api.AnswerStarted: self._on_started,
             api.BodySent: self._on_body_sent,
+            api.NodesPresent: self._on_nodes,
         }
 
     # ------------------------------------------------------------ events
@@ -114,6 +115,10 @@
                 if request is not None and request.out and not request.waiting and not request.started:
                     self._hedge(request)
 
+    def _on_nodes(self, event: api.NodesPresent) -> None:
+        self._fleet.follow_nodes(event.present, event.ordinal)
+        self._admission.follow_nodes()
+
     # ------------------------------------------------------------ the server list
 
     def _on_list(self, event: api.ServerList) -> None:
--- a/fawngw/decide/fleet.py
+++ b/fawngw/decide/fleet.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import hashlib
-import heapq
 import math
 import random
 from collections.abc import Sequence
 
 import fawngw.interface as api
 from fawngw.decide.automaton import Automaton
-from fawngw.parts import Rate
-from fawngw.records import Server
+from fawngw.parts import Rate, deal
+from fawngw.records import Reports, Server
 
 HOME = 6  # servers that a node keeps to, up to twice as many: of so few half may fail and leave a choice
 HOME_COVER = 3  # nodes that must share each server at the least, for their walks to cancel out
@@ -28,7 +26,8 @@
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self.settings, self.rng, self.now = settings, rng, 0.0
         self.aim = min(c.aim_ms for c in settings.classes)
-        self.automaton = Automaton(settings.balancers)
+        self.nodes, self.ordinal = settings.balancers, settings.ordinal
+        self.automaton = Automaton(self.nodes)
         self.servers: dict[api.ServerId, Server] = {}
         self.arms: list[Server] = []
         self.at_home: list[bool] = []  # in the same order: whether the node keeps to this server
@@ -39,12 +38,9 @@
         self.capacity = 0.0  # of the listed servers, in warm ones
         self._look_at = -math.inf
         self._groups: dict[tuple[api.RepeatGroup, int], list[int]] = {}
-        self._turn = -1  # of the ring that the places of servers are on
-        self._told: dict[api.ServerId, Server] = {}  # servers with a report
-        # Calls that those hold, of all nodes, and their share of the vector.
-        self._held = self._held_share = 0.0
         columns = settings.load_columns
-        self._held_column = columns.index(HELD_COLUMN) if HELD_COLUMN in columns else None
+        column = columns.index(HELD_COLUMN) if HELD_COLUMN in columns else None
+        self.reports = Reports(column, REPORT_AIMS * self.aim)
 
     # ------------------------------------------------------------ the list
 
@@ -76,6 +72,12 @@
             leaving = {n: s for n, s in self.servers.items() if s.entry.readiness is api.Readiness.DRAINING}
             self.servers = kept | leaving
 
+    def follow_nodes(self, nodes: int, ordinal: int) -> None:
+        """So many nodes share the servers now, and this one has this place among them."""
+        self.nodes, self.ordinal = nodes, ordinal
+        self.automaton.set_steps(nodes)
+        self._choose_home()
+
     def _take_entry(self, entry: api.ServerEntry) -> None:
         server, now = self.servers.get(entry.server), self.now
         ready = entry.readiness is api.Readiness.READY
@@ -103,29 +105,23 @@
         """Where many nodes call many servers, each keeps to a home of a few, of every kind in proportion.
 
         Guards against views so sparse that no node meets a server again within the day's troubles, and
-        against connections that grow with nodes times servers.  Nodes are dealt to evenly spaced places of a
-        ring, on which the servers lie by hash; every turn of the dealing has a ring of its own, so that all
-        servers are met alike, and a change of the list moves few homes.
+        against connections that grow with nodes times servers.  The servers of each kind are dealt to homes
+        by hash, anew for each turn of nodes: each server is met once in a turn, and so all are met alike.
         """
         settings, arms = self.settings, self.arms
         priced, zone = settings.cross_zone_price > 0, settings.zone
         near = [i for i, s in enumerate(arms) if not priced or s.entry.zone == zone]
         # A power of two: their number, which all homes hang on, must not follow every change of the list.
         # Few nodes keep to larger homes: with none at all each would open connections to every server.
-        most = min(len(near) // HOME, settings.balancers // HOME_COVER)
+        most = min(len(near) // HOME, self.nodes // HOME_COVER)
         homes = 1 << max(0, most.bit_length() - 1)
         if homes > 1:
-            turn, place = divmod(settings.ordinal, homes)
-            rings: dict[int, list[tuple[float, api.ServerId, int]]] = {}
+            turn, place = divmod(self.ordinal, homes)
+            kinds: dict[int, list[int]] = {}
             for i in near:
-                server, name = arms[i], arms[i].entry.server
-                if turn != self._turn or server.ring < 0.0:
-                    digest = hashlib.blake2b(name + turn.to_bytes(4, "big"), digest_size=6).digest()
-                    server.ring = int.from_bytes(digest, "big") / 2**48
-                # From this node's place onwards, in parts of a whole turn.
-                rings.setdefault(server.entry.kind, []).append(((server.ring - place / homes) % 1.0, name, i))
-            self._turn = turn
-            near = [i for r in rings.values() for _, _, i in heapq.nsmallest(math.ceil(len(r) / homes), r)]
+                kinds.setdefault(arms[i].entry.kind, []).append(i)
+            dealt = [(k, deal([arms[i].mark(turn) for i in k], homes)) for k in kinds.values()]
+            near = [i for k, homes_of in dealt for i, home in zip(k, homes_of, strict=True) if home == place]
         whole = len(near) in (0, len(arms))
         self.home = None if whole else sorted(near)
         self.at_home = [whole and bool(near)] * len(arms)
@@ -143,22 +139,14 @@
         changed = bool(self.cold) or not self.capacity
         self.cold = [s for s in self.cold if self.is_cold(s)]
         self.capacity = len(self.arms) - len(self.cold) + sum(self.ramp(s) for s in self.cold)
-        fresh, share = self.now - REPORT_AIMS * self.aim, self.automaton.share
-        self._told = {n: s for n, s in self._told.items() if s.index >= 0 and s.told >= fresh}
-        self._held = sum([len(s.out) + s.others for s in self._told.values()])
-        self._held_share = sum([share(s.index) for s in self._told.values()])
+        self.reports.look(self.now, self.automaton.share)
         return changed
 
-    @property
-    def held(self) -> float:
-        """Calls of all nodes that servers hold, for a share of one; 0 where no fresh report tells."""
-        return self._held / self._held_share if self._held_share else 0.0
-
     def count_out(self, server: Server, by: int) -> None:
         """A call of ours went out to the server, or came back."""
         if by > 0 or not server.out:
             (self.busy.setdefault if by > 0 else self.busy.pop)(server.entry.server, server)
-        self._held += by if server.entry.server in self._told else 0
+        self.reports.count(server, by)
 
     def is_cold(self, server: Server) -> bool:
         start = server.entry.started_ms
@@ -186,17 +174,4 @@
         return server.tokens >= min(units, most)
 
     def note_load(self, server: Server, load: Sequence[float]) -> None:
-        """What a server holds for other nodes: all that it reports less what is out there from here."""
-        if self._held_column is not None and self._held_column < len(load):
-            known, name = server.others, server.entry.server
-            server.others = max(0.0, load[self._held_column] - len(server.out))
-            server.told = self.now
-            if name in self._told:
-                self._held += server.others - known
-            elif server.index >= 0:
-                self._told[name] = server
-                self._held += server.others + len(server.out)
-                self._held_share += self.automaton.share(server.index)
-
-    def reported(self, server: Server) -> bool:
-        return self.now - server.told <= REPORT_AIMS * self.aim
+        self.reports.note(server, load, self.now, self.automaton.share)
--- a/fawngw/decide/placing.py
+++ b/fawngw/decide/placing.py
@@ -27,8 +27,9 @@
     def __init__(self, fleet: Fleet, health: Health, admission: Admission) -> None:
         self.fleet, self.health, self.admission = fleet, health, admission
         self._can_repeat = any(c.effect is not Effect.UNSAFE for c in fleet.settings.classes)
-        self._most_waiting = max(1.0, WAITING_MOST / admission.sharers)
-        self._late = self._mean = 0.0  # these hold for all servers at the moment of a draw
+        self._most_waiting = self._late = self._mean = (
+            0.0  # these hold for all servers at the moment of a draw
+        )
         self._flow: float | None = None  # counted once, and only if a server is cold
         self._calls_out = 0
 
@@ -68,6 +69,7 @@
             return None
         self._late, self._flow = self.health.patience.late(), None
         self._mean, self._calls_out = automaton.mean() or 0.0, calls_out
+        self._most_waiting = max(1.0, WAITING_MOST / self.admission.sharers)
         panic = self.health.panic()
         if self.bound(request) is None and not panic:
             needed, found = 1 if fleet.home is None else LOCAL_LEAST, list[Server]()
@@ -147,6 +149,7 @@
             share *= self._mean / slow
         if out > BUDGET_PLUS + BUDGET_TIMES * share * self._calls_out:
             return False
-        if not fleet.held or not fleet.reported(server):
+        held = fleet.reports.held
+        if not held or not fleet.reports.fresh(server, fleet.now):
             return True
-        return out + server.others <= BUDGET_PLUS + BUDGET_TIMES * share * fleet.held
+        return out + server.others <= BUDGET_PLUS + BUDGET_TIMES * share * held
--- a/fawngw/interface.py
+++ b/fawngw/interface.py
@@ -259,6 +259,21 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class NodesPresent:
+    """So many nodes of the tier are present, and this one has this place among them, from 0 on.
+
+    It takes the place of `balancers` and `ordinal` in the settings from now on.
+    """
+
+    present: int
+    ordinal: int
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.ordinal < self.present:
+            raise UnexpectedEvent(f"place {self.ordinal} among {self.present} nodes")
+
+
 Event = (
     ServerList
     | Arrival
@@ -269,6 +284,7 @@
     | ProbeEnded
     | TimerFired
     | PeerMessage
+    | NodesPresent
 )
 
 
--- a/fawngw/records.py
+++ b/fawngw/records.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import fawngw.interface as api
@@ -27,7 +29,59 @@
     tokens_at: float = 0.0
     others: float = 0.0  # calls of other nodes that it holds, by its last load report
     told: float = -math.inf  # when that came
-    ring: float = -1.0  # its place on this node's ring, in parts of a turn; -1 before it is hashed
+    marked: tuple[int, int] = (-1, 0)  # the last turn of homes that a mark was asked for, and that mark
+
+    def mark(self, turn: int) -> int:
+        """48 bits that are the server's own in each turn of homes, the same at every node."""
+        if self.marked[0] != turn:
+            digest = hashlib.blake2b(self.entry.server + turn.to_bytes(4, "big"), digest_size=6).digest()
+            self.marked = turn, int.from_bytes(digest, "big")
+        return self.marked[1]
+
+
+class Reports:
+    """Calls that servers hold, of all nodes together, by load reports no older than `span` ms.
+
+    column: where in a report the calls stand; None where no report tells of them.
+    """
+
+    def __init__(self, column: int | None, span: float) -> None:
+        self._column, self._span = column, span
+        self._told: dict[api.ServerId, Server] = {}  # servers with a report, as of the last look
+        self._held = self._share = 0.0  # calls that those hold, and their share of the vector
+
+    @property
+    def held(self) -> float:
+        """Calls of all nodes that servers hold, for a share of one; 0 where no fresh report tells."""
+        return self._held / self._share if self._share else 0.0
+
+    def fresh(self, server: Server, now: float) -> bool:
+        """Whether the server's last report still tells of now."""
+        return now - server.told <= self._span
+
+    def look(self, now: float, share: Callable[[int], float]) -> None:
+        """Leave out what has grown old; share: of the vector, by a server's index."""
+        oldest = now - self._span
+        self._told = {n: s for n, s in self._told.items() if s.index >= 0 and s.told >= oldest}
+        self._held = sum([len(s.out) + s.others for s in self._told.values()])
+        self._share = sum([share(s.index) for s in self._told.values()])
+
+    def count(self, server: Server, by: int) -> None:
+        """A call of this node's went out to the server, or came back."""
+        self._held += by if server.entry.server in self._told else 0
+
+    def note(self, server: Server, load: Sequence[float], now: float, share: Callable[[int], float]) -> None:
+        """What a server holds for other nodes: all that it reports less what is out there from here."""
+        if self._column is not None and self._column < len(load):
+            known, name = server.others, server.entry.server
+            server.others = max(0.0, load[self._column] - len(server.out))
+            server.told = now
+            if name in self._told:
+                self._held += server.others - known
+            elif server.index >= 0:
+                self._told[name] = server
+                self._held += server.others + len(server.out)
+                self._share += share(server.index)
 
 
 @dataclass(slots=True)
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -4,8 +4,20 @@
 
 from collections import Counter
 
+import pytest
+
 from fawngw import Balancer
-from fawngw.interface import ListKind, Readiness, RequestClass, ServerEntry, ServerList, Settings
+from fawngw.interface import (
+    ListKind,
+    NodesPresent,
+    Readiness,
+    RequestClass,
+    ServerEntry,
+    ServerList,
+    Settings,
+    Tenant,
+    UnexpectedEvent,
+)
 
 KIND = RequestClass("r", 1000, 3000)
 
@@ -74,3 +86,52 @@
         row = ServerEntry(server, Readiness.DRAINING)
         balancer.handle(ServerList(ListKind.CHANGES, (row,)), 2.0 + number)
     assert len(balancer._placing.near(list(range(len(balancer._fleet.arms))))) >= 2
+
+
+@pytest.mark.parametrize("servers", [10, 37, 60, 200, 2000])
+@pytest.mark.parametrize("nodes", [1, 2, 7, 12, 13, 31, 64])
+def test_the_least_and_the_most_met_server_differ_by_one_at_the_most(nodes: int, servers: int) -> None:
+    """Seen from twelve nodes on: a server was met by two to five of them, as hashes fell."""
+    met = Counter(s for ordinal in range(nodes) for s in home(node(ordinal, nodes, servers)))
+    counts = [met[i.to_bytes(2, "big")] for i in range(servers)]
+    assert max(counts) - min(counts) <= 1
+
+
+def test_a_server_more_or_less_moves_few_others() -> None:
+    """Pairs of node and server that are new when one server goes, by the size of its own part."""
+    for nodes, servers in ((24, 60), (64, 200), (200, 500)):
+        new = own = 0
+        for ordinal in range(nodes):
+            before = home(node(ordinal, nodes, servers))
+            own += (5).to_bytes(2, "big") in before
+            new += len(home(node(ordinal, nodes, servers, frozenset({5}))) - before)
+        assert own and new <= 8 * own
+
+
+def test_nodes_present_take_the_place_of_the_counts_in_the_settings() -> None:
+    told, born = node(3, 400, 60), node(5, 24, 60)
+    told.handle(NodesPresent(24, 5), 2.0)
+    assert home(told) == home(born)
+    assert told._fleet.automaton.alpha == born._fleet.automaton.alpha
+    assert told._fleet.automaton.theta == born._fleet.automaton.theta
+    told.handle(NodesPresent(1, 0), 3.0)
+    assert len(home(told)) == 60
+
+
+def test_the_limit_and_the_quotas_follow_the_nodes_that_are_present() -> None:
+    settings = Settings(classes=(KIND,), tenants=(Tenant("t", 1.0, 80.0),), balancers=8)
+    balancer = Balancer(settings, seed=1)
+    rows = tuple(ServerEntry(bytes([i])) for i in range(40))
+    balancer.handle(ServerList(ListKind.FULL, rows), 1.0)
+    before = balancer.limit
+    balancer.handle(NodesPresent(4, 0), 2.0)
+    assert balancer.limit == pytest.approx(2 * before)
+    quota = balancer._admission
+    assert sum(quota.within_share(0) for _ in range(50)) == 20
+    balancer.handle(NodesPresent(8, 7), 3.0)
+    assert balancer.limit == pytest.approx(before)
+
+
+def test_a_place_beyond_the_nodes_present_is_no_event() -> None:
+    with pytest.raises(UnexpectedEvent, match="place 3 among 3 nodes"):
+        NodesPresent(3, 3)
