Put membership on UDP and TCP, make the node a member, add the command crowpost members

The carrier binds one address for datagrams and tables; a node is a member where NODE_MEMBERS names a TOML file, says whether it is joining, present or leaving, and hands the nodes present to the module if feed is on: a death after a while, one that flaps later each time, and never fewer than a part of what the settings name, since a view that shrank so far is a cut. crowpost members shows, compares all views, and asks one to leave. With it off nothing of it is imported (a test looks).

--- a/fawngw/cli/main.py
+++ b/fawngw/cli/main.py
@@ -8,6 +8,7 @@
 
 from fawngw.cli.demo import demo
 from fawngw.cli.lab import app as lab
+from fawngw.cli.members import app as members
 
 app = typer.Typer(
     name="crowpost",
@@ -16,6 +17,7 @@
     pretty_exceptions_enable=False,
 )
 app.add_typer(lab, name="lab")
+app.add_typer(members, name="members")
 app.command()(demo)
 
 
@@ -24,10 +26,11 @@
     from fawngw.lab.policies import PolicyError
     from fawngw.lab.runs import RunFolderError
     from fawngw.lab.scenario import ScenarioError
+    from fawngw.members.model import MemberError
 
     try:
         app()
-    except (ScenarioError, RunFolderError, PolicyError) as error:
+    except (ScenarioError, RunFolderError, PolicyError, MemberError) as error:
         print(f"crowpost: {error}", file=sys.stderr)
         sys.exit(2)
 
--- a/fawngw/members/core.py
+++ b/fawngw/members/core.py
@@ -27,6 +27,7 @@
 STEPS = (0.3, 0.6)  # parts of a period after which helpers are asked
 NACK_AT = 0.25  # part of a period after which a helper says that it got no answer
 LOOKS = 2  # probes in a row, a period apart, that a member fails before it is suspected
+WITNESSES = 5.0  # members, in the mean, that look at a newly suspected one at once
 LAST_LOOKS = 3  # at the most, before a suspected member is declared dead
 BYSTANDER = 1.5  # times a suspicion's length, for one that has not accused the member itself
 LATE = 0.5  # part of a period by which a timer may be late before this process calls itself slow
@@ -343,6 +344,9 @@
         if member.verdict is Verdict.SUSPECTED:
             member.accusers = frozenset((member.by,))
             self._plan_expiry(member, now)
+            if member.by != self.me.name and self.rng.random() * self.view.alive < WITNESSES:
+                # A few of all who hear of it look at once, so that it need not wait for their turns.
+                self._look(member, now)
         else:
             member.accusers = frozenset()
             member.doubts = 0
--- a/fawngw/node/config.py
+++ b/fawngw/node/config.py
@@ -6,12 +6,15 @@
 import json
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from fawngw.interface import ImpossibleSettings, Settings
 from fawngw.node.discovery import ListError, Listing, Naming
 from fawngw.settings import SettingsError, read_settings
 
+if TYPE_CHECKING:
+    from fawngw.members.config import MembersConfig
+
 _DEFAULT_CONN_IDLE_MS = 15_000.0
 # With fewer no request can be served.  A tight limit is the platform's to set, and no reason not to start:
 # a node that wanted 64 MB at the least did not come up on a machine of 48.
@@ -47,6 +50,7 @@
     path: str  # of the file, which the platform may replace while the node runs
     management: tuple[str, int] | None = None
     accept_fd: int | None = None  # of the clients' listening socket, where the platform holds it
+    members: MembersConfig | None = None  # None: no membership, and nothing of it is imported
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -74,6 +78,7 @@
         path=path,
         management=_management(environment, raw),
         accept_fd=_descriptor(environment.get("NODE_ACCEPT_FD", "")),
+        members=_members(environment, environment.get("NODE_NAME") or str(raw.get("name", ""))),
     )
 
 
@@ -138,6 +143,20 @@
     return _address(environment, raw, "NODE_MANAGEMENT", "management")
 
 
+def _members(environment: Mapping[str, str], name: str) -> MembersConfig | None:
+    """Membership, where a file for it is named."""
+    path = environment.get("NODE_MEMBERS", "")
+    if not path:
+        return None
+    from fawngw.members.config import load as load_members
+    from fawngw.members.model import MemberError
+
+    try:
+        return load_members(path, name)
+    except MemberError as error:
+        raise ConfigError(f"NODE_MEMBERS: {error}") from None
+
+
 def _descriptor(text: str) -> int | None:
     if not text:
         return None
--- /dev/null
+++ b/fawngw/node/membership.py
@@ -0,0 +1,95 @@
+"""The node as a member of its cluster: its phase out, and the nodes present in.  Only imported where it is
+on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+from fawngw.interface import NodesPresent, Settings
+from fawngw.members.carrier import Carrier
+from fawngw.members.config import MembersConfig
+from fawngw.members.model import Change, Phase
+from fawngw.members.presence import ORDINAL, STAGE, Presence, Share
+
+LOOK_S = 0.25  # between looks at whether this node is ready, and at what is due
+
+
+class Membership:
+    """Joins this node to its cluster.  phase: what it says of itself; post: takes events for the module."""
+
+    def __init__(
+        self,
+        config: MembersConfig,
+        settings: Settings,
+        phase: Callable[[], Phase],
+        post: Callable[[NodesPresent], None],
+    ) -> None:
+        self._config, self._phase, self._post = config, phase, post
+        self._loop = asyncio.get_running_loop()
+        self._carrier = Carrier(config, self._changed)
+        self._facts = {STAGE: str(settings.stage), ORDINAL: str(settings.ordinal)}
+        self._presence = Presence(
+            config.role,
+            str(settings.stage),
+            Share(settings.balancers, settings.ordinal),
+            settle_ms=config.settle_ms,
+            least_part=config.least_part,
+        )
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Bind and begin to join; OSError where the address cannot be used."""
+        await self._carrier.start(self._facts)
+        self._look()
+
+    def _look(self) -> None:
+        self._timer = self._loop.call_later(LOOK_S, self._look)
+        phase = self._phase()
+        core = self._carrier.core
+        if phase is Phase.JOINING and core.me_claim.phase is not Phase.JOINING:
+            phase = Phase.PRESENT  # once ready, a list that has run empty makes no newcomer of a node
+        if phase is not core.me_claim.phase:
+            self._carrier.declare(phase)
+        if self._carrier.now() >= self._presence.next_at:
+            self._feed()
+
+    def _changed(self, changes: list[Change]) -> None:
+        self._feed()
+
+    def _feed(self) -> None:
+        core = self._carrier.core
+        if not self._config.feed or not core.joined or core.yielded or core.left:
+            return  # one that has not met the others yet would take itself for the only one
+        share = self._presence.look(core.view.members, core.me.name, self._carrier.now())
+        if share is not None:
+            self._post(NodesPresent(share.present, share.ordinal))
+
+    def figures(self) -> dict[str, float]:
+        """Figures by name and label, for the second address."""
+        core = self._carrier.core
+        counts = core.counts
+        states = Counter(m.state for m in core.view.members.values())
+        named = ("joining", "present", "suspected", "leaving", "left", "dead")
+        return {
+            **{f'members{{state="{state}"}}': states[state] for state in named},
+            "members_probes": counts["probes"],
+            "members_probes_failed": counts["probes_failed"],
+            "members_false_suspicions": counts["false_suspicions"],
+            'members_datagrams{way="in"}': counts["datagrams_in"],
+            'members_datagrams{way="out"}': counts["datagrams_out"],
+            'members_bytes{way="in"}': counts["bytes_in"],
+            'members_bytes{way="out"}': counts["bytes_out"],
+            "members_dropped": sum(n for name, n in counts.items() if name.startswith("dropped_")),
+            "members_awareness": core.awareness,
+            "members_view_digest": core.view.digest,
+            "members_share_of": self._presence.share.present,
+        }
+
+    async def close(self) -> None:
+        """Leave in order."""
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._carrier.close()
--- a/fawngw/node/metrics.py
+++ b/fawngw/node/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 _PREFIX = "edge_node"
 _RESULTS = ("ok", "shed", "errors")
@@ -25,8 +25,10 @@
         """An attempt was written to a server, to its last byte."""
         self._tries += 1
 
-    def render(self, *, active: int, pool_size: int, pool_ejected: int) -> bytes:
-        """All figures, one a line."""
+    def render(
+        self, *, active: int, pool_size: int, pool_ejected: int, more: Mapping[str, float] | None = None
+    ) -> bytes:
+        """All figures, one a line; more: of parts that are on, by name and labels."""
         lines = [
             f'{_PREFIX}_responses{{kind="{name}",result="{result}"}} {answers[result]}'
             for name, answers in zip(self._classes, self._answers, strict=True)
@@ -38,6 +40,7 @@
             f"{_PREFIX}_pool_size {pool_size}",
             f"{_PREFIX}_pool_ejected {pool_ejected}",
         ]
+        lines += [f"{_PREFIX}_{name} {value}" for name, value in (more or {}).items()]
         return "".join(f"{line}\n" for line in lines).encode()
 
 
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from fawngw.decide import Balancer
 from fawngw.interface import (
@@ -53,6 +54,9 @@
 from fawngw.node.metrics import Metrics
 from fawngw.node.servers import Call, Servers
 
+if TYPE_CHECKING:
+    from fawngw.node.membership import Membership
+
 log = logging.getLogger(__name__)
 
 # A caller's time counts from its send, so the last of it goes to the network and a busy core.
@@ -123,6 +127,7 @@
         self._done = asyncio.Event()
         self._address = config.listen
         self._told = False  # discovery has spoken, or has had its time
+        self._membership: Membership | None = None
         self._listener = adopt(config.accept_fd) if config.accept_fd is not None else None
         part = 1.0 if self._listener is None else SHARED_PART
         sockets = int(part * config.limits.sockets)
@@ -183,6 +188,7 @@
             except OSError as error:
                 raise ConfigError(f"NODE_MANAGEMENT cannot be used: {error}") from None
             log.info("node %s is managed on %s:%d", self._config.name, *self.management)
+        await self._join()
         if self._config.accept_fd is None:
             await self._accept(self._config.listen)
         elif self._listener is not None:  # else discovery has spoken meanwhile
@@ -190,6 +196,24 @@
             self._loop.call_later(ADOPT_WAIT_S, self._hear)
         return self._address
 
+    async def _join(self) -> None:
+        """Membership, where it is configured; nothing of it is imported where it is not."""
+        if self._config.members is None:
+            return
+        from fawngw.members.model import Phase as MemberPhase
+        from fawngw.node.membership import Membership
+
+        def phase() -> MemberPhase:
+            if self._drain.phase is not Phase.SERVING:
+                return MemberPhase.LEAVING
+            return MemberPhase.PRESENT if self.ready() else MemberPhase.JOINING
+
+        self._membership = Membership(self._config.members, self._config.settings, phase, self._post)
+        try:
+            await self._membership.start()
+        except OSError as error:
+            raise ConfigError(f"NODE_MEMBERS: members.listen cannot be used: {error}") from None
+
     async def _accept(self, at: tuple[str, int] | socket.socket) -> None:
         self._address = await self._callers.listen(at)
         log.info("node %s listens on %s:%d", self._config.name, *self._address)
@@ -217,6 +241,8 @@
         self._discovery.close()
         self._callers.close()
         self._servers.close()
+        if self._membership is not None:
+            await self._membership.close()
 
     # ------------------------------------------------------------ events in, actions out
 
@@ -523,6 +549,7 @@
             active=sum(not pending.uploading for pending in self._requests.values()),
             pool_size=balancer.pool_size,
             pool_ejected=balancer.pool_ejected,
+            more=self._membership.figures() if self._membership is not None else None,
         )
         return Reply(200, figures)
 
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -11,6 +11,7 @@
 
 import uvloop
 
+from fawngw.members.config import MembersConfig
 from fawngw.node.config import Config, Limits, flat
 from fawngw.node.discovery import Naming
 from fawngw.node.node import Node
@@ -344,6 +345,7 @@
     known: bool = True,
     path: str = "",
     accept_fd: int | None = None,
+    members: MembersConfig | None = None,
     **changes: Any,
 ) -> AsyncIterator[World]:
     """A node that knows these servers; changes go into its settings."""
@@ -363,6 +365,7 @@
             path=path,
             management=(HOST, 0),
             accept_fd=accept_fd,
+            members=members,
         )
         node = Node(config)
         address = await node.start()
