--- /dev/null
+++ b/fawngw/lab/rig/__init__.py
@@ -0,0 +1,1 @@
+"""A rig of real processes on loopback, with relays between them and faults by one seeded timetable."""
