--- a/fawngw/members/core.py
+++ b/fawngw/members/core.py
@@ -29,6 +29,8 @@
 LOOKS = 2  # probes in a row, a period apart, that a member fails before it is suspected
 WITNESSES = 5.0  # members, in the mean, that look at a newly suspected one at once
 LAST_LOOKS = 3  # at the most, before a suspected member is declared dead
+CONFIRM_PART = 0.5  # of the usual repeats, for one more accuser of a member that is suspected already
+HEAR_OUT_MS = 1_000.0  # that a member is suspected here at the least before another's word makes it dead
 BYSTANDER = 1.5  # times a suspicion's length, for one that has not accused the member itself
 LATE = 0.5  # part of a period by which a timer may be late before this process calls itself slow
 WINDOW = 512  # datagrams of a sender that may overtake each other; older ones are replays
@@ -304,8 +306,12 @@
             self._newcomer(claim, now)
             return
         same = claim.birth == member.birth
-        if from_table and claim.verdict is Verdict.DEAD and member.alive and same:
-            claim = replace(claim, verdict=Verdict.SUSPECTED)
+        if claim.verdict is Verdict.DEAD and member.alive and same:
+            if from_table:
+                claim = replace(claim, verdict=Verdict.SUSPECTED)
+            elif member.verdict is Verdict.NONE or now - member.since < HEAR_OUT_MS:
+                self._condemn(member, claim, now)
+                return
         if not self.view.wins(claim, member):
             confirms = same and claim.rank == (member.incarnation, Verdict.SUSPECTED)
             if confirms and member.verdict is Verdict.SUSPECTED:
@@ -319,6 +325,20 @@
         self._pass_on(claim if claim.profile else replace(claim, profile=None), now)
         self._follow(member, was, now)
 
+    def _condemn(self, member: Member, claim: Claim, now: float) -> None:
+        """A death of which this process had no inkling: the member is heard out before it holds.
+
+        Guards against what is said behind a cut just before it ends: without this a member that all could
+        reach was dead for all until it had refuted that.
+        """
+        if claim.incarnation < member.incarnation:
+            return
+        self.claim(replace(claim, verdict=Verdict.SUSPECTED), now)
+        if member.verdict is Verdict.SUSPECTED and math.isinf(member.condemned):
+            member.condemned = member.since + HEAR_OUT_MS
+            member.timer += 1
+            self._plan_expiry(member, now)
+
     def _newcomer(self, claim: Claim, now: float) -> None:
         if claim.profile is None:
             self.counts["lacking"] += 1
@@ -348,6 +368,7 @@
                 # A few of all who hear of it look at once, so that it need not wait for their turns.
                 self._look(member, now)
         else:
+            member.condemned = math.inf
             member.accusers = frozenset()
             member.doubts = 0
         if was is Verdict.SUSPECTED and member.verdict is Verdict.NONE:
@@ -363,7 +384,7 @@
         member.accusers |= {accuser}
         member.timer += 1
         self._plan_expiry(member, now)
-        self._pass_on(replace(member.claim(full=False), by=accuser), now)
+        self._pass_on(replace(member.claim(full=False), by=accuser), now, CONFIRM_PART)
 
     def _plan_expiry(self, member: Member, now: float) -> None:
         t = self.tuning
@@ -376,7 +397,8 @@
         if self.me.name not in member.accusers:
             # Those who saw nothing themselves leave the last look to those who did, as long as they act.
             wait *= BYSTANDER + 0.5 * self.rng.random()
-        self._at(max(now, member.since + wait), Timer.SUSPICION, member.name, member.timer)
+        due = min(member.since + wait, member.condemned)
+        self._at(max(now, due), Timer.SUSPICION, member.name, member.timer)
 
     def _expire(self, name: str, number: int, now: float) -> None:
         """The time of a suspicion is over: dead, unless the member answers a last look of this process's own.
@@ -387,16 +409,20 @@
         if member is None or member.timer != number or member.verdict is not Verdict.SUSPECTED:
             return
         member.timer += 1
+        if now >= member.condemned:
+            self._bury(member, now, member.by, member.why)
+            return
         # One that is slow itself does not trust a single look.
         self._look(member, now, last=1 + min(self.awareness, LAST_LOOKS - 1))
 
-    def _bury(self, member: Member, now: float) -> None:
-        why = f"no answer, accused by {len(member.accusers)}"
-        self.counts["declared_dead"] += 1
-        self.claim(replace(member.claim(full=False), verdict=Verdict.DEAD, by=self.me.name, why=why), now)
+    def _bury(self, member: Member, now: float, by: str, why: str) -> None:
+        claim = replace(member.claim(full=False), verdict=Verdict.DEAD, by=by, why=why)
+        self.view.set(member, claim, now)
+        self._pass_on(claim, now)
+        self._follow(member, Verdict.SUSPECTED, now)
 
-    def _pass_on(self, claim: Claim, now: float) -> None:
-        self.gossip.add(claim, self.view.alive)
+    def _pass_on(self, claim: Claim, now: float, part: float = 1.0) -> None:
+        self.gossip.add(claim, self.view.alive, part)
         if not self._gossiping:
             self._gossiping = True
             self._at(now + self.rng.random() * self.tuning.gossip_ms, Timer.GOSSIP)
@@ -468,7 +494,8 @@
             if probe.answered or probe.last > 1:
                 self._look(member, now, last=probe.last - (not probe.answered))
             else:
-                self._bury(member, now)
+                self.counts["declared_dead"] += 1
+                self._bury(member, now, self.me.name, f"no answer, accused by {len(member.accusers)}")
             return
         if probe.answered or not member.alive:
             return
--- a/fawngw/members/gossip.py
+++ b/fawngw/members/gossip.py
@@ -11,6 +11,8 @@
 from fawngw.members.model import Claim, Tuning, Verdict
 from fawngw.members.wire import claim_row, pack
 
+OVERDRAWN_ROOM = 200  # bytes of claims that a datagram carries though the budget is overdrawn
+
 
 @dataclass(slots=True)
 class _Rumour:
@@ -30,18 +32,18 @@
         self._tuning = tuning
         self._queues: tuple[deque[_Rumour], deque[_Rumour]] = (deque(), deque())
         self._latest: dict[str, _Rumour] = {}
-        self._tokens = 2.0 * tuning.bytes_per_s
+        self._tokens = tuning.bytes_saved
         self._at = 0.0
 
     def __len__(self) -> int:
         return len(self._latest)
 
-    def add(self, claim: Claim, members: int) -> None:
-        """Pass this claim on, in place of any earlier one on the same member."""
+    def add(self, claim: Claim, members: int, part: float = 1.0) -> None:
+        """Pass this claim on, in place of any earlier one on the same member; part: of the usual repeats."""
         old = self._latest.get(claim.name)
         if old is not None:
             old.left = 0
-        left = math.ceil(self._tuning.repeats * math.log10(max(members, 2) + 1))
+        left = math.ceil(part * self._tuning.repeats * math.log10(max(members, 2) + 1))
         rumour = self._latest[claim.name] = _Rumour(claim.name, pack(claim_row(claim)), max(left, 2))
         self._queues[claim.verdict is Verdict.SUSPECTED].appendleft(rumour)
 
@@ -57,14 +59,19 @@
 
     def _refill(self, now: float) -> None:
         rate = self._tuning.bytes_per_s
-        self._tokens = min(2.0 * rate, self._tokens + (now - self._at) * rate / 1000.0)
+        self._tokens = min(self._tuning.bytes_saved, self._tokens + (now - self._at) * rate / 1000.0)
         self._at = now
 
     def take(self, room: int, now: float) -> list[bytes]:
-        """Packed claims that fit into so many bytes; none while the budget is overdrawn."""
+        """Packed claims that fit into so many bytes; into few while the budget is overdrawn.
+
+        Never into none: what goes anyway carries news at little cost, and probes alone may use up the budget.
+        """
         taken: list[bytes] = []
-        if not self._latest or not self.may_spend(now):
+        if not self._latest:
             return taken
+        if not self.may_spend(now):
+            room = min(room, OVERDRAWN_ROOM)
         for queue in self._queues:
             again: list[_Rumour] = []
             while queue and len(queue[0].packed) <= room:
--- a/fawngw/members/model.py
+++ b/fawngw/members/model.py
@@ -120,6 +120,7 @@
     doubts: int = 0  # probes in a row that it did not answer
     accusers: frozenset[str] = frozenset()
     timer: int = 0  # generation of the timer of its suspicion
+    condemned: float = math.inf  # when a death that another declared holds here, unless it is refuted first
     told_at: float = -math.inf  # when it was last told what is held of it
     deaths: int = 0  # how often it was held dead here
 
@@ -180,4 +181,5 @@
     most_members: int = 5_000
     most_gone: int = 4_096  # dead and left members kept at the most
     datagram_bytes: int = 1_200
-    bytes_per_s: float = 1_800.0  # that gossip may take, probes included; probes themselves always go
+    bytes_per_s: float = 1_800.0  # that gossip may take in the mean, probes included; those always go
+    bytes_saved: float = 54_000.0  # of that, saved up in quiet: many deaths at once must not wait for it
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -250,6 +250,36 @@
     assert deaths(made) == [], "nobody dies of the joining"
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_what_was_said_behind_a_cut_just_before_it_ends_kills_nobody(seed: int) -> None:
+    """Seen on real processes: the few had declared a death a second before, and then it was one for all."""
+    made = swarm(40, seed)
+    side = {f"n{i}" for i in range(6)}
+    made.may_pass = lambda a, b: (a in side) == (b in side)
+    for _ in range(200):  # until one of the few has declared a death, and its news is still on the way
+        made.run(500)
+        if any(seen in side for seen, c in made.history if c.after == "dead" and c.name not in side):
+            break
+    made.may_pass = lambda a, b: True
+    made.history.clear()
+    made.run(30_000)
+    wrong = [(seen, name) for seen, name in deaths(made) if (seen in side) == (name in side)]
+    assert wrong == [] and made.agree()
+
+
+@pytest.mark.parametrize(("count", "gone", "within_ms"), [(60, 9, 9_000), (20, 14, 14_000)])
+def test_many_deaths_at_once_are_known_about_as_soon_as_one(count: int, gone: int, within_ms: int) -> None:
+    """Seen on sixty real processes: probes used up the budget of bytes, and nothing was passed on for ten
+    seconds.
+    """
+    made = swarm(count, 3, Weather(loss=0.1))
+    for i in range(gone):
+        made.kill(f"n{i}")
+    made.run(within_ms)
+    for process in made.living():
+        assert {n for n, s in states(process).items() if s == "dead"} == {f"n{i}" for i in range(gone)}
+
+
 def test_a_member_that_flaps_ends_as_it_stands() -> None:
     made = swarm(10, 4, RICH)
     for _ in range(4):
