--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -49,6 +49,7 @@
 
     about = {
         "module": "the decision module as it stands",
+        "module+members": "the same, with the front nodes told by membership how many are present",
         "random": baselines.RandomChoice.__doc__,
         "round-robin": baselines.RoundRobin.__doc__,
         "least-outstanding": baselines.LeastOutstanding.__doc__,
--- a/fawngw/lab/nodes.py
+++ b/fawngw/lab/nodes.py
@@ -17,6 +17,7 @@
     Fail,
     ListKind,
     Log,
+    NodesPresent,
     Outcome,
     Probe,
     ProbeEnded,
@@ -146,6 +147,10 @@
         self._version += 1
         self._feed(ServerList(kind, rows, self._version))
 
+    def hear(self, event: NodesPresent) -> None:
+        """News of its membership has reached this node."""
+        self._feed(event)
+
     def accept(self, ask: Ask) -> None:
         """A request's last byte has come; its final answer goes to `ask.reply`."""
         self.tally.requests += 1
--- a/fawngw/lab/policies.py
+++ b/fawngw/lab/policies.py
@@ -19,6 +19,7 @@
 from fawngw.lab.platform import Platform, PolicyFactory
 
 MODULE = "module"
+MEMBERS = "+members"  # behind a policy's name: its front nodes are members and know how many are present
 ROOT = Path(__file__).parent  # of the checkout whose revisions are played
 
 
@@ -28,6 +29,7 @@
 
 def factory(name: str) -> PolicyFactory:
     """What builds the nodes' policies; PolicyError if there is none by that name."""
+    name = name.removesuffix(MEMBERS)
     plain = {
         "random": baselines.RandomChoice,
         "round-robin": baselines.RoundRobin,
@@ -43,7 +45,7 @@
     if name.startswith("rev:"):
         balancer = revision(name.removeprefix("rev:"))
         return lambda settings, seed, platform, stage: cast(Policy, balancer(settings, seed))
-    known = ", ".join((MODULE, *baselines.names(), "rev:GIT-REVISION"))
+    known = ", ".join((MODULE, MODULE + MEMBERS, *baselines.names(), "rev:GIT-REVISION"))
     raise PolicyError(f"{name}: no such policy; known are {known}")
 
 
--- a/fawngw/lab/runs.py
+++ b/fawngw/lab/runs.py
@@ -13,9 +13,10 @@
 
 from fawngw.lab.faults import Faults
 from fawngw.lab.measure import ENDS, Measure
+from fawngw.lab.membership import FrontMembership
 from fawngw.lab.nodes import SimNode
 from fawngw.lab.platform import Platform
-from fawngw.lab.policies import factory
+from fawngw.lab.policies import MEMBERS, factory
 from fawngw.lab.scenario import Scenario
 from fawngw.lab.traffic import Wish
 
@@ -42,6 +43,8 @@
     """Play one run in simulated time; equal arguments give an equal result, whatever the machine does."""
     platform = Platform(scenario, seed, factory(policy))
     Faults(platform)
+    if policy.endswith(MEMBERS):
+        FrontMembership(platform, seed)
     platform.run()
     return result(platform, policy)
 
--- a/fawngw/lab/swim.py
+++ b/fawngw/lab/swim.py
@@ -88,8 +88,14 @@
 class Swarm:
     """Many processes in one simulated world.  may_pass: whether a link from one name to another is whole."""
 
-    def __init__(self, seed: int, weather: Weather | None = None, tuning: Tuning | None = None) -> None:
-        self.engine, self.rng = Engine(), random.Random(seed)
+    def __init__(
+        self,
+        seed: int,
+        weather: Weather | None = None,
+        tuning: Tuning | None = None,
+        engine: Engine | None = None,
+    ) -> None:
+        self.engine, self.rng = engine or Engine(), random.Random(seed)
         self.weather, self.tuning = weather or Weather(), tuning or Tuning()
         self.processes: dict[str, Process] = {}
         self.by_address: dict[str, Process] = {}
@@ -123,6 +129,10 @@
         """So many members that know each other already, as long after their start."""
         for i in range(count):
             self.start(f"n{i}")
+        self.acquaint()
+
+    def acquaint(self) -> None:
+        """Let all that there are know each other, as long after their start."""
         claims = [p.core.me_claim for p in self.processes.values()]
         for process in self.processes.values():
             core = process.core
@@ -132,7 +142,7 @@
                     assert member is not None
                     core._ring.append(claim.name)
             core.rng.shuffle(core._ring)
-            core.view.changes.clear()
+            core.take()
             core.gossip = Gossip(self.tuning)  # nothing is news to anybody
 
     def kill(self, name: str) -> None:
