--- a/tests/test_carrier.py
+++ b/tests/test_carrier.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -12,6 +13,7 @@
 import pytest
 
 from fawngw.cli.members import disagreements
+from fawngw.lab.rig.processes import node_config
 from fawngw.members.carrier import Carrier, ask
 from fawngw.members.config import MembersConfig, load
 from fawngw.members.core import Members
@@ -133,6 +135,35 @@
     assert done.stdout.strip() == "[]"
 
 
+def test_a_node_whose_file_for_membership_cannot_be_used_says_so_and_ends_with_2(tmp_path: Path) -> None:
+    raw = json.dumps(node_config(0, 2))
+    (tmp_path / "c.json").write_text(raw)
+    (tmp_path / "m.toml").write_text(
+        GOOD.replace("127.0.0.1:0", "203.0.113.1:7946")
+    )  # no address of this machine
+    for members, said in (
+        ("none.toml", "NODE_MEMBERS: "),
+        ("m.toml", "NODE_MEMBERS: members.listen cannot be used: "),
+    ):
+        environment = {
+            **os.environ,
+            "NODE_NAME": "n",
+            "NODE_LISTEN": f"{HOST}:0",
+            "NODE_DISCOVERY": f"{HOST}:9",
+            "NODE_CONFIG": str(tmp_path / "c.json"),
+            "NODE_MEMBERS": str(tmp_path / members),
+        }
+        done = subprocess.run(
+            [sys.executable, "-m", "fawngw"],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        assert done.returncode == 2 and done.stderr.splitlines()[-1].startswith(f"fawngw: {said}")
+
+
 # ---------------------------------------------------------------- configuration
 
 GOOD = '[members]\ncluster = "c"\nname = "n"\nlisten = "127.0.0.1:0"\n'
