Take only IPv4 addresses from members, and survive one that cannot be sent to

A peer's claim is sent to as it stands: a name would wait for a look-up that the platform does not have, or raise on the loop and stop the member's timer. Found by reading the change once more; names, and numbers out of range, are refused where claims are read.

--- a/fawngw/members/carrier.py
+++ b/fawngw/members/carrier.py
@@ -127,7 +127,10 @@
         out = self.core.take()
         for address, data in out.datagrams:
             if self._transport is not None:
-                self._transport.sendto(data, split_address(address))
+                try:
+                    self._transport.sendto(data, split_address(address))
+                except (OSError, ValueError):
+                    self.core.counts["unsendable"] += 1  # an address that cannot be: its probes fail
         for address in out.exchanges:
             if len(self._calls) < CALLS_MOST:
                 call = self._loop.create_task(self._exchange(address))
--- a/fawngw/members/model.py
+++ b/fawngw/members/model.py
@@ -14,7 +14,7 @@
 
 WIRE = 1  # version of the messages; a neighbouring one is understood
 NAME_BYTES = 64
-ADDRESS_BYTES = 64
+ADDRESS_BYTES = 21
 ZONE_BYTES = 32
 ROLE_BYTES = 16
 WHY_BYTES = 64
@@ -78,11 +78,16 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Host and port of 'host:port'; MemberError where there is none."""
+    """Host and port of 'host:port', the host an IPv4 address; MemberError for anything else.
+
+    No name: what a peer claims is sent to as it stands, and nothing may wait for a look-up.
+    """
     host, _, port = address.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
-        raise MemberError(f"not an address and a port: {address!r}")
-    return host, int(port)
+    parts = host.split(".")
+    numbers = [int(p) for p in (*parts, port) if p.isascii() and p.isdigit() and len(p) < 6]
+    if len(numbers) != 5 or len(parts) != 4 or max(numbers[:4]) > 255 or numbers[4] > 65535:
+        raise MemberError(f"not an IPv4 address and a port: {address!r}")
+    return host, numbers[4]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_carrier.py
+++ b/tests/test_carrier.py
@@ -172,10 +172,16 @@
 def test_a_file_is_read_whole(tmp_path: Path) -> None:
     file = tmp_path / "m.toml"
     file.write_text(
-        GOOD + 'join = ["h:1"]\nfeed = true\n[members.facts]\nrack = "7"\n[members.tuning]\nhelpers = 2\n'
+        GOOD
+        + 'join = ["127.0.0.1:1"]\nfeed = true\n[members.facts]\nrack = "7"\n[members.tuning]\nhelpers = 2\n'
     )
     found = load(str(file))
-    assert (found.join, found.feed, found.facts, found.tuning.helpers) == (("h:1",), True, {"rack": "7"}, 2)
+    assert (found.join, found.feed, found.facts, found.tuning.helpers) == (
+        ("127.0.0.1:1",),
+        True,
+        {"rack": "7"},
+        2,
+    )
     file.write_text('[members]\ncluster = "c"\nlisten = "127.0.0.1:0"\n')
     assert load(str(file), "from-the-environment").name == "from-the-environment"
 
@@ -188,7 +194,7 @@
         ("[members]\n", "members.cluster: is missing"),
         (GOOD + "wrong = 1\n", "members.wrong: no such key; known are cluster"),
         (GOOD + 'join = "a:1"\n', "members.join: a list of addresses"),
-        (GOOD + 'join = ["a"]\n', "members.join: not an address and a port: 'a'"),
+        (GOOD + 'join = ["a"]\n', "members.join: not an IPv4 address and a port: 'a'"),
         (GOOD + "feed = 1\n", "members.feed: true or false"),
         (GOOD + "least_part = 2\n", "members.least_part: a number from 0 to 1, not 2"),
         (GOOD + "[members.tuning]\nprobe_ms = 0\n", "members.tuning.probe_ms: a number from 0.001"),
@@ -210,7 +216,7 @@
     done = crowpost("members", "--at", f"{HOST}:1")
     assert done.returncode == 2 and done.stderr.startswith(f"crowpost: {HOST}:1: ")
     done = crowpost("members", "--at", "nowhere")
-    assert (done.returncode, done.stderr) == (2, "crowpost: not an address and a port: 'nowhere'\n")
+    assert (done.returncode, done.stderr) == (2, "crowpost: not an IPv4 address and a port: 'nowhere'\n")
 
 
 def test_compare_names_who_holds_what_else() -> None:
@@ -249,7 +255,9 @@
     """A view by hand, and what a presence makes of it."""
 
     def __init__(self, nodes: int, **more: float) -> None:
-        self.core = Members("t", Profile("n0", "h:1", facts={"ordinal": "0"}), (), seed=1, birth=1, now=0.0)
+        self.core = Members(
+            "t", Profile("n0", "127.0.0.1:1", facts={"ordinal": "0"}), (), seed=1, birth=1, now=0.0
+        )
         self.core.declare(Phase.PRESENT, 0.0)
         self.presence = Presence("node", "0", Share(nodes, 0), **more)
         for i in range(1, nodes):
@@ -258,7 +266,7 @@
     def hold(
         self, name: str, incarnation: int, verdict: Verdict, now: float, phase: Phase = Phase.PRESENT
     ) -> None:
-        profile = Profile(name, "h:1", facts={"ordinal": name[1:]})
+        profile = Profile(name, "127.0.0.1:1", facts={"ordinal": name[1:]})
         claim = Claim(name, 7, incarnation, phase, verdict, name, "", profile)
         member = self.core.view.get(name)
         if member is None:
@@ -315,6 +323,6 @@
 def test_other_roles_and_stages_do_not_count() -> None:
     told = Told(3)
     for name, role, stage in (("x", "directory", "0"), ("y", "node", "1")):
-        profile = Profile(name, "h:1", role=role, facts={"stage": stage})
+        profile = Profile(name, "127.0.0.1:1", role=role, facts={"stage": stage})
         told.core.claim(Claim(name, 7, 1, Phase.PRESENT, Verdict.NONE, name, "", profile), 0.0)
     assert told.look(1.0) is None and told.presence.share == Share(3, 0)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -428,12 +428,14 @@
         {"facts": {f"k{i}": "" for i in range(7)}},
         {"facts": {"k": "v" * 65}},
         {"address": "nowhere"},
-        {"address": "host:99999"},
+        {"address": "127.0.0.1:99999"},
+        {"address": "host:1"},
+        {"address": "256.0.0.1:1"},
     ):
         with pytest.raises(MemberError):
             Profile(**{"name": "a", "address": "127.0.0.1:1", **bad})  # type: ignore[arg-type]
     widest = Profile(
-        "n" * 64, "a" * 58 + ":65535", "z" * 32, "r" * 16, facts={f"{i}" * 24: "v" * 64 for i in range(6)}
+        "n" * 64, "255.255.255.255:65535", "z" * 32, "r" * 16, facts={f"{i}" * 24: "v" * 64 for i in range(6)}
     )
     claim = Claim(widest.name, 2**32 - 1, 2**32 - 1, Phase.PRESENT, Verdict.DEAD, "b" * 64, "w" * 64, widest)
     row = claim_row(claim)
