--- a/fawngw/lab/rig/processes.py
+++ b/fawngw/lab/rig/processes.py
@@ -84,11 +84,13 @@
             environment |= {"NODE_LISTEN": f"{own_ip(self.index)}:0", "NODE_DISCOVERY": "127.0.0.1:9"}
             environment |= {"NODE_CONFIG": str(config), "NODE_MEMBERS": str(members)}
             command = [sys.executable, "-m", "fawngw"]
-        self.bound.clear()
         self.process = await asyncio.create_subprocess_exec(
             *command, env=environment, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE
         )
         self.expected_up = True
+        # Only now: the end of the one before may be read while this one is made, and would pass for its start.
+        self.listens = None
+        self.bound.clear()
         self._spawn(self._read(self.process))
         try:
             await asyncio.wait_for(self.bound.wait(), BINDS_S)
