--- a/fawngw/lab/rig/processes.py
+++ b/fawngw/lab/rig/processes.py
@@ -88,7 +88,7 @@
             *command, env=environment, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE
         )
         self.expected_up = True
-        # Only now: the end of the one before may be read while this one is made, and would pass for its start.
+        # Only now: the end of the one before may be read while this is made, and would pass for its start.
         self.listens = None
         self.bound.clear()
         self._spawn(self._read(self.process))
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -124,9 +124,9 @@
             ends[name].bind((own_ip(i), 0))
             relays.targets[name] = ends[name].getsockname()[:2]
 
-        async def send(sender: str, receiver: str, data: bytes) -> None:
+        def send(sender: str, receiver: str, data: bytes) -> None:
             host, _, port = relays.addresses[receiver].rpartition(":")
-            await loop.sock_sendto(ends[sender], data, (host, int(port)))
+            ends[sender].sendto(data, (host, int(port)))
 
         async def receive(name: str) -> bytes:
             return await asyncio.wait_for(loop.sock_recv(ends[name], 2000), PATIENCE_S)
@@ -134,14 +134,14 @@
         try:
             act = Act(Bad("one_way", 0.0), ("a",), frozenset({("a", "b")}))
             relays.begin(act)
-            await send("a", "b", b"lost")
-            await send("b", "a", b"back")
+            send("a", "b", b"lost")
+            send("b", "a", b"back")
             assert await receive("a") == b"back"
             relays.end(act)
-            await send("a", "b", b"through")
+            send("a", "b", b"through")
             assert await receive("b") == b"through"
             relays.begin(Act(Bad("duplicate", 0.0, size=1.0), ("a",), frozenset({("a", "b")})))
-            await send("a", "b", b"twice")
+            send("a", "b", b"twice")
             assert [await receive("b"), await receive("b")] == [b"twice", b"twice"]
         finally:
             relays.close()
