--- a/fawngw/lab/policies.py
+++ b/fawngw/lab/policies.py
@@ -45,7 +45,7 @@
     if name.startswith("rev:"):
         balancer = revision(name.removeprefix("rev:"))
         return lambda settings, seed, platform, stage: cast(Policy, balancer(settings, seed))
-    known = ", ".join((MODULE, MODULE + MEMBERS, *baselines.names(), "rev:GIT-REVISION"))
+    known = ", ".join((MODULE, *baselines.names(), "rev:GIT-REVISION", MODULE + MEMBERS))
     raise PolicyError(f"{name}: no such policy; known are {known}")
 
 
