--- a/fawngw/members/wire.py
+++ b/fawngw/members/wire.py
@@ -14,7 +14,17 @@
 
 import msgpack
 
-from fawngw.members.model import NAME_BYTES, WHY_BYTES, WIRE, Claim, MemberError, Phase, Profile, Verdict
+from fawngw.members.model import (
+    NAME_BYTES,
+    WHY_BYTES,
+    WIRE,
+    Claim,
+    MemberError,
+    Phase,
+    Profile,
+    Verdict,
+    split_address,
+)
 
 MAGIC = b"CM"
 HEAD = struct.Struct(">2sBBII")  # magic, wire version, kind, cluster, CRC-32 of the body
@@ -198,6 +208,8 @@
         wholes = (birth, incarnation, counter, digest, number)
         if not all(isinstance(t, str) and len(t) <= 64 for t in texts) or not all(map(_whole, wholes)):
             raise Foreign("malformed", "a datagram of other types")
+        if reply_to:
+            split_address(reply_to)  # it is answered, and exchanged with, as it stands
         return Message(
             kind,
             Sender(name, birth, incarnation, Phase(phase), counter, digest),
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -19,7 +19,10 @@
     MAGIC,
     Foreign,
     Kind,
+    Message,
+    Sender,
     claim_row,
+    datagram,
     pack,
     read_claim,
     read_datagram,
@@ -389,6 +392,21 @@
     assert n0.core.counts["dropped_cluster"] >= 1
 
 
+def test_a_stranger_that_names_no_address_is_not_answered() -> None:
+    made = swarm(3)
+    core = made.processes["n0"].core
+    core.take()
+    stranger = Sender("x", 1, 1, Phase.PRESENT, 1, 0)
+    core.handle(datagram(Message(Kind.PING, stranger, 1, "n0", "nowhere"), tag("swarm"), []), made.engine.now)
+    out = core.take()
+    assert core.counts["dropped_malformed"] == 1 and not out.exchanges and not out.datagrams
+    core.handle(
+        datagram(Message(Kind.PING, stranger, 1, "n0", "10.1.1.1:5"), tag("swarm"), []), made.engine.now
+    )
+    out = core.take()
+    assert out.exchanges == ["10.1.1.1:5"] and [address for address, _ in out.datagrams] == ["10.1.1.1:5"]
+
+
 def test_well_sealed_nonsense_is_dropped_too() -> None:
     """The checksum is no defence against a program that is wrong: types and bounds are looked at."""
     made = swarm(3)
