Ask members for their views, and find shipped files, by one piece of code each

Reread of the change: the command and the rig each asked all members for their views, the lab listed its scenarios and its storms by the same lines, what a sender owes was tested twice, a history check copied a table for nothing. No behaviour changes: three seeded swarms give the same histories to the byte, the whole suite passes.

--- a/fawngw/cli/members.py
+++ b/fawngw/cli/members.py
@@ -16,7 +16,6 @@
 At = Annotated[str, typer.Option("--at", envvar="CROWPOST_MEMBERS", help="address of any member, host:port")]
 AsJson = Annotated[bool, typer.Option("--json", help="print JSON")]
 ASK_S = 2.0  # for each member that is asked
-AT_ONCE = 64
 
 
 def _view(address: str) -> dict[str, Any]:
@@ -82,24 +81,6 @@
     return f"{ms / 1000:.1f} s" if ms < 120_000 else f"{ms / 60_000:.0f} min"
 
 
-async def _ask_all(addresses: dict[str, str]) -> dict[str, dict[str, Any] | str]:
-    from fawngw.members.carrier import ask
-    from fawngw.members.model import MemberError
-    from fawngw.members.wire import Kind
-
-    gate = asyncio.Semaphore(AT_ONCE)
-
-    async def one(name: str, address: str) -> tuple[str, dict[str, Any] | str]:
-        async with gate:
-            try:
-                view: dict[str, Any] = await ask(address, Kind.VIEW, "", ASK_S)
-                return name, view
-            except MemberError as error:
-                return name, str(error)
-
-    return dict(await asyncio.gather(*(one(n, a) for n, a in addresses.items())))
-
-
 def disagreements(views: dict[str, dict[str, Any]]) -> list[dict[str, Any]]:
     """About whom the views differ: what most hold, and who holds what else since when."""
     held: dict[str, dict[str, dict[str, Any]]] = {}
@@ -130,8 +111,10 @@
 
 
 def _compare(view: dict[str, Any], as_json: bool) -> None:
+    from fawngw.members.carrier import ask_all
+
     alive = {m["name"]: m["address"] for m in view["members"] if m["state"] not in ("dead", "left")}
-    asked = asyncio.run(_ask_all(alive))
+    asked = asyncio.run(ask_all(alive, ASK_S))
     silent = {name: said for name, said in asked.items() if isinstance(said, str)}
     views = {name: said for name, said in asked.items() if not isinstance(said, str)}
     found = disagreements(views)
--- a/fawngw/decide/placing.py
+++ b/fawngw/decide/placing.py
@@ -27,9 +27,8 @@
     def __init__(self, fleet: Fleet, health: Health, admission: Admission) -> None:
         self.fleet, self.health, self.admission = fleet, health, admission
         self._can_repeat = any(c.effect is not Effect.UNSAFE for c in fleet.settings.classes)
-        self._most_waiting = self._late = self._mean = (
-            0.0  # these hold for all servers at the moment of a draw
-        )
+        # These hold for all servers at the moment of a draw.
+        self._most_waiting = self._late = self._mean = 0.0
         self._flow: float | None = None  # counted once, and only if a server is cold
         self._calls_out = 0
 
--- a/fawngw/lab/rig/history.py
+++ b/fawngw/lab/rig/history.py
@@ -145,12 +145,8 @@
             verdict.deaths += 1
             when = {o: at for at, o, a in reversed(told) if a == about and span.begin <= at <= span.end}
             # Those that were themselves away, or cut off, need not know in time.
-            away = {
-                n for n, s in {**down}.items() if any(x.begin < span.end and span.begin < x.end for x in s)
-            }
-            away |= {
-                n for n, s in excused.items() if any(x.begin < span.end and span.begin < x.end for x in s)
-            }
+            apart = [*down.items(), *excused.items()]
+            away = {n for n, s in apart if any(x.begin < span.end and span.begin < x.end for x in s)}
             if not when:
                 verdict.breaches.append(f"nobody noticed that {about} was down from {span.begin:.0f} ms on")
                 continue
--- a/fawngw/lab/rig/plan.py
+++ b/fawngw/lab/rig/plan.py
@@ -8,7 +8,6 @@
 
 import tomllib
 from dataclasses import dataclass, field
-from importlib import resources
 from pathlib import Path
 from random import Random
 from typing import Annotated, Literal, get_args
@@ -16,6 +15,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from fawngw.lab import scenario
 from fawngw.lab.scenario import Count, NotNegative, Positive, ScenarioError, Share
 
 SCHEMA = 1
@@ -68,8 +68,7 @@
 
 def shipped() -> dict[str, Path]:
     """The storms that come with the package, by name."""
-    folder = Path(str(resources.files("fawngw.lab") / "storms"))
-    return {path.stem: path for path in sorted(folder.glob("*.toml"))}
+    return scenario.shipped("storms")
 
 
 def load(name: str) -> Storm:
--- a/fawngw/lab/rig/storm.py
+++ b/fawngw/lab/rig/storm.py
@@ -18,9 +18,7 @@
 from fawngw.lab.rig.plan import Act, Storm, timetable
 from fawngw.lab.rig.processes import RigProcess
 from fawngw.lab.rig.relays import Relays
-from fawngw.members.carrier import ask
-from fawngw.members.model import MemberError
-from fawngw.members.wire import Kind
+from fawngw.members.carrier import ask_all
 
 CONTACTS = 3
 AT_ONCE = 8  # processes that start at the same time: a start takes a core
@@ -191,17 +189,12 @@
     # ------------------------------------------------------------ views
 
     async def _views(self) -> dict[str, dict[str, Any] | str]:
-        async def one(process: RigProcess) -> dict[str, Any] | str:
-            assert process.listens is not None
-            try:
-                view: dict[str, Any] = await ask("{}:{}".format(*process.listens), Kind.VIEW, "", ASK_S)
-            except MemberError as error:
-                return str(error)
-            return view
-
-        running = [p for p in self.processes.values() if p.expected_up]
-        found = await asyncio.gather(*(one(p) for p in running))
-        return {p.name: view for p, view in zip(running, found, strict=True)}
+        addresses = {}
+        for process in self.processes.values():
+            if process.expected_up:
+                assert process.listens is not None
+                addresses[process.name] = "{}:{}".format(*process.listens)
+        return await ask_all(addresses, ASK_S)
 
     async def _until_one_view(self, within_s: float) -> bool:
         until = self._loop.time() + within_s
--- a/fawngw/lab/scenario.py
+++ b/fawngw/lab/scenario.py
@@ -229,10 +229,10 @@
         return hashlib.blake2b(msgspec.json.encode(self), digest_size=8).hexdigest()
 
 
-def shipped() -> dict[str, Path]:
-    """The scenarios that come with the package, by name."""
-    folder = Path(str(resources.files("fawngw.lab") / "scenarios"))
-    return {path.stem: path for path in sorted(folder.glob("*.toml"))}
+def shipped(folder: str = "scenarios") -> dict[str, Path]:
+    """The scenarios, or other files of such a folder, that come with the package, by name."""
+    found = Path(str(resources.files("fawngw.lab") / folder)).glob("*.toml")
+    return {path.stem: path for path in sorted(found)}
 
 
 def load(name: str) -> Scenario:
--- a/fawngw/members/carrier.py
+++ b/fawngw/members/carrier.py
@@ -22,6 +22,7 @@
 FRAME_S = 3.0  # for each frame of an exchange, and for a connection
 PEERS_MOST = 16  # connections that are answered at once; more wait in the listener's queue
 CALLS_MOST = 4  # exchanges of this process's own at once; more are left out, as the next one brings the same
+ASK_AT_ONCE = 64  # members that one command asks at the same time
 FAREWELL_S = 0.3  # that a departure has to be passed on
 BIND_TRIES = 20  # for one port that is free on UDP and TCP
 BUFFER = 1 << 18  # bytes of datagrams that the socket keeps for a process that hardly runs
@@ -292,6 +293,22 @@
         raise MemberError(f"{address}: {str(error) or 'closed without an answer'}") from None
 
 
+async def ask_all(addresses: dict[str, str], within_s: float) -> dict[str, dict[str, Any] | str]:
+    """The views of many members by name, asked at once; for one that does not answer why, in one line."""
+    gate = asyncio.Semaphore(ASK_AT_ONCE)
+
+    async def one(address: str) -> dict[str, Any] | str:
+        async with gate:
+            try:
+                view: dict[str, Any] = await ask(address, Kind.VIEW, "", within_s)
+            except MemberError as error:
+                return str(error)
+            return view
+
+    found = await asyncio.gather(*(one(address) for address in addresses.values()))
+    return dict(zip(addresses, found, strict=True))
+
+
 def _tell(event: str, at: float, **values: object) -> None:
     """One structured line; `at_ms` is the machine's monotonic clock, common to all of its processes."""
     log.info("members %s", json.dumps({"event": event, "at_ms": round(at, 1), **values}))
--- a/fawngw/members/core.py
+++ b/fawngw/members/core.py
@@ -284,12 +284,7 @@
         match message.kind:
             case Kind.PING if reply_to:
                 if message.subject == self.me.name:
-                    wrong = (
-                        member is not None
-                        and member.verdict
-                        and message.sender.incarnation <= member.incarnation
-                    )
-                    told = [member.claim(full=False)] if wrong and member is not None else []
+                    told = [member.claim(full=False)] if member is not None and _owes(member, message) else []
                     self._send(reply_to, Kind.ACK, now, message.number, self.me.name, told)
                     return
                 self.counts["dropped_misdirected"] += 1  # the address belonged to another before
@@ -299,7 +294,7 @@
                 self.prober.acknowledged(message, now)
             case Kind.NACK:
                 self.prober.not_acknowledged(message)
-        if member is not None and member.verdict and message.sender.incarnation <= member.incarnation:
+        if member is not None and _owes(member, message):
             self._tell(member, reply_to or member.profile.address, now)
 
     def _tell(self, member: Member, address: str, now: float) -> None:
@@ -359,3 +354,8 @@
             self.prober.call(self.rng.choice(dead), now)
         elif self.view.alive == 1 and self._contacts:
             self._out.exchanges.append(self.rng.choice(self._contacts))
+
+
+def _owes(member: Member, message: Message) -> bool:
+    """Whether something is held of a datagram's sender that it has yet to refute."""
+    return bool(member.verdict) and message.sender.incarnation <= member.incarnation
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -36,9 +36,7 @@
 def swarm(count: int, seed: int = 1, weather: Weather | None = None) -> Swarm:
     """So many processes that all join by the first three, and have met."""
     made = Swarm(seed, weather)
-    first = [made.start(f"n{i}") if i == 0 else None for i in range(1)][0]
-    assert first is not None
-    contacts = [first.address]
+    contacts = [made.start("n0").address]
     for i in range(1, count):
         process = made.start(f"n{i}", contacts)
         if i < 3:
