Let the module weigh what an earlier process knew, and part its vector from its learning

Need: a restarted node begins at uniform shares and the usual limit. The event `Remembered` carries ratios, averages, ejections and the limit of an earlier process with their ages; the module draws each toward its start value by age (half the trust a minute, none below a twentieth), leaves out servers that have started since, keeps ejections to a third of the fleet and the limit within twice its start either way.

--- a/fawngw/decide/admission.py
+++ b/fawngw/decide/admission.py
@@ -27,6 +27,7 @@
 LIMIT_DEPTH = 1.2  # margin over the calls out that the best recent rate needs at the calmest latency
 PEAK_FADE = 4.0  # the best rate fades over this many aims
 LIMIT_START = 6.0  # calls out for each server before anything is known, so that a restart opens no flood
+LIMIT_RECALL = 2.0  # times that start, or less by as much: further a limit that is remembered is not followed
 LIMIT_START_UP = 1.2  # and its growth for each mean latency until the first strain
 
 
@@ -112,6 +113,17 @@
             self.limit * capacity / known if known else LIMIT_START * max(1.0, capacity / self.sharers)
         )
 
+    @property
+    def limit_each(self) -> float:
+        """The limit for each unit of capacity that is this node's part."""
+        return self.limit / max(1.0, self._capacity / self.sharers) if self._capacity else 0.0
+
+    def recall(self, limit_each: float, trust: float) -> None:
+        """Start from an earlier process's limit, so far as it is trusted and near the usual start."""
+        if limit_each > 0.0 and self._capacity:
+            bound = min(max(limit_each, LIMIT_START / LIMIT_RECALL), LIMIT_START * LIMIT_RECALL)
+            self.limit *= 1.0 + trust * (bound / LIMIT_START - 1.0)
+
     def calm_down(self, latency: float) -> None:
         """Remember the mean latency of the calmest time: what the service takes when nothing queues."""
         now = self.fleet.now
--- a/fawngw/decide/balancer.py
+++ b/fawngw/decide/balancer.py
@@ -22,9 +22,16 @@
 AGAIN = 0.02  # part of the aim between looks at waiting requests
 RETRY_EARN = 0.1  # retries and second copies for each arrival
 RETRY_MOST = 10.0
+MEMORY_HALF_MS = 60_000.0  # in which the trust in what an earlier process knew halves
+MEMORY_LEAST = 0.05  # less trust than this counts as none: an ejection is whole, however old
 HEDGE, LIST, RECHECK = 0, 1, 3  # kinds of timers, beside RETURN
 
 
+def _trust(age_ms: float) -> float:
+    trust: float = 0.5 ** (max(age_ms, 0.0) / MEMORY_HALF_MS)
+    return trust if trust >= MEMORY_LEAST else 0.0
+
+
 class Balancer:
     """The decisions of one node.  Feed it events in order; carry out the actions it returns."""
 
@@ -61,6 +68,7 @@
             api.AnswerStarted: self._on_started,
             api.BodySent: self._on_body_sent,
             api.NodesPresent: self._on_nodes,
+            api.Remembered: self._on_remembered,
         }
 
     # ------------------------------------------------------------ events
@@ -96,6 +104,25 @@
         """Calls that may be out at once."""
         return self._admission.limit
 
+    @property
+    def limit_each(self) -> float:
+        """The same for each unit of capacity that is this node's part."""
+        return self._admission.limit_each
+
+    def remember(self, first: int, most: int) -> list[api.ServerMemory]:
+        """What has been learned of so many listed servers, from one place in the list on."""
+        servers, average = self._fleet.arms, self._fleet.automaton.average
+        return [
+            api.ServerMemory(
+                s.entry.server,
+                s.entry.started_ms,
+                self._fleet.automaton.share(s.index) * len(servers),
+                average[s.index],
+                s.ejected,
+            )
+            for s in servers[first : first + most]
+        ]
+
     def _on_timer(self, event: api.TimerFired) -> None:
         self._wake = math.inf
         while (due := self._timers.pop_due(self._now)) is not None:
@@ -119,6 +146,21 @@
         self._fleet.follow_nodes(event.present, event.ordinal)
         self._admission.follow_nodes()
 
+    def _on_remembered(self, event: api.Remembered) -> None:
+        """Weigh what an earlier process of this node knew: by age, and only of the same starts of servers."""
+        known: dict[api.ServerId, tuple[float, float | None, float]] = {}
+        for memory in event.servers:
+            server, trust = self._fleet.servers.get(memory.server), _trust(memory.age_ms)
+            if server is None or server.index < 0 or not trust:
+                continue
+            if server.entry.started_ms != memory.started_ms:
+                continue  # another process than the one that it was learned of
+            known[memory.server] = memory.ratio, memory.average_ms, trust
+            if memory.ejected and not server.ejected:
+                self._health.recall_ejected(server)
+        self._fleet.automaton.recall(known)
+        self._admission.recall(event.limit_each, _trust(event.limit_age_ms))
+
     # ------------------------------------------------------------ the server list
 
     def _on_list(self, event: api.ServerList) -> None:
--- a/fawngw/decide/health.py
+++ b/fawngw/decide/health.py
@@ -120,6 +120,13 @@
             self.actions.append(CloseIdle(name))
             self._schedule_return(server)
 
+    def recall_ejected(self, server: Server) -> None:
+        """An earlier process had ejected it: out until a probe or a trial, where it can be spared."""
+        if _can_spare(sum(s.ejected for s in self._suspects()), len(self.fleet.arms)):
+            server.fail, server.ejected = FAIL_EJECT, True
+            self._suspect[server.entry.server] = server
+            self._schedule_return(server)
+
     def _schedule_return(self, server: Server) -> None:
         cold = self.fleet.settings.cold_ms or 10_000.0
         pause = min(EJECT_LONGEST * cold, EJECT_FIRST * cold * 2.0 ** min(server.strikes, 10))
--- a/fawngw/interface.py
+++ b/fawngw/interface.py
@@ -274,6 +274,30 @@
             raise UnexpectedEvent(f"place {self.ordinal} among {self.present} nodes")
 
 
+@dataclass(frozen=True, slots=True)
+class ServerMemory:
+    """What a process knew, age_ms ago, of a server that was started at started_ms."""
+
+    server: ServerId
+    started_ms: float
+    ratio: float  # its share, as a multiple of the mean share
+    average_ms: float | None = None  # None: not called yet
+    ejected: bool = False
+    age_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Remembered:
+    """What an earlier process of this node knew; to be told once, after the first list.
+
+    limit_each: calls that it would let out for each unit of capacity that is its own part; 0: not known.
+    """
+
+    servers: tuple[ServerMemory, ...]
+    limit_each: float = 0.0
+    limit_age_ms: float = 0.0
+
+
 Event = (
     ServerList
     | Arrival
@@ -285,6 +309,7 @@
     | TimerFired
     | PeerMessage
     | NodesPresent
+    | Remembered
 )
 
 
--- /dev/null
+++ b/fawngw/tables.py
@@ -0,0 +1,83 @@
+"""Tables of a TOML file, read key by key; an error is one line: the key, what it may be and what it is."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Collection, Mapping
+from pathlib import Path
+from typing import Any
+
+
+class TableError(ValueError):
+    """A file or a key that cannot be used; its text is one line."""
+
+
+def read_file(path: str) -> dict[str, Any]:
+    """The tables of a file; TableError that names it."""
+    try:
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise TableError(" ".join(str(error).split())) from None
+
+
+class Table:
+    """A table by its dotted name.  known: its keys; any other is a TableError."""
+
+    def __init__(self, name: str, raw: object, known: Collection[str]) -> None:
+        if not isinstance(raw, dict):
+            raise TableError(f"{name}: the table is missing" if raw is None else f"{name}: a table")
+        self.name, self._raw = name, raw
+        for key in raw:
+            if key not in known:
+                raise TableError(f"{name}.{key}: no such key; known are {', '.join(known)}")
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._raw
+
+    def get(self, key: str) -> Any:
+        """What the file holds, as it is; None for nothing."""
+        return self._raw.get(key)
+
+    def text(self, key: str, default: str = "", *, needed: bool = False) -> str:
+        """A text; needed: it must be there, or have a default, and not be empty."""
+        value = self._raw.get(key, default)
+        if needed and not value:
+            raise TableError(f"{self.name}.{key}: is missing")
+        if not isinstance(value, str):
+            raise TableError(f"{self.name}.{key}: a text, not {value!r}")
+        return value
+
+    def choice(self, key: str, default: str, known: Collection[str]) -> str:
+        """One of a few texts."""
+        value = self.text(key, default)
+        if value not in known:
+            raise TableError(f"{self.name}.{key}: one of {', '.join(known)}, not {value!r}")
+        return value
+
+    def flag(self, key: str, default: bool) -> bool:
+        """True or false."""
+        value = self._raw.get(key, default)
+        if not isinstance(value, bool):
+            raise TableError(f"{self.name}.{key}: true or false, not {value!r}")
+        return value
+
+    def number(self, key: str, default: float, low: float, high: float) -> float:
+        """A number within bounds."""
+        value = self._raw.get(key, default)
+        if not isinstance(value, int | float) or isinstance(value, bool) or not low <= value <= high:
+            raise TableError(f"{self.name}.{key}: a number from {low:g} to {high:g}, not {value!r}")
+        return float(value)
+
+    def texts(self, key: str, what: str) -> tuple[str, ...]:
+        """A list of texts, empty by default.  what: they are, for the error."""
+        value = self._raw.get(key, [])
+        if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+            raise TableError(f"{self.name}.{key}: a list of {what}, not {value!r}")
+        return tuple(value)
+
+    def mapping(self, key: str) -> Mapping[str, str]:
+        """A table of texts, empty by default."""
+        value = self._raw.get(key, {})
+        if not isinstance(value, dict) or not all(isinstance(v, str) for v in value.values()):
+            raise TableError(f"{self.name}.{key}: a table of texts")
+        return value
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -176,7 +176,8 @@
         if server.entry.server != silent:
             server.rest_until = play.balancer._now + 60_000.0
     automaton = play.balancer._fleet.automaton
-    automaton._renew([0.97 if server == silent else 0.01 for server in automaton.servers])
+    shares = [0.97 if server == silent else 0.01 for server in automaton.servers]
+    automaton._vector.set(shares, [0] * len(shares))
     mark = len(play.log)
     for _ in range(8):
         play.arrive()
