--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -292,6 +292,79 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def powerloss(
+    seeds: Annotated[str, typer.Option(help="3, 1-20 or 1,4,9-12")] = "1-8",
+    broken: Annotated[
+        bool, typer.Option("--broken", help="put each fault of a list in, and find it")
+    ] = False,
+    flips: Annotated[int, typer.Option(min=1, help="flip one bit in so many")] = 29,
+    jobs: Annotated[int, typer.Option(min=0, help="worker processes; 0: one for each core")] = 0,
+    as_json: AsJson = False,
+) -> None:
+    """Every state that a power loss may leave of a store, recovered from and checked; exit code 1 if bad.
+
+    Example: crowpost lab powerloss --seeds 1-20
+    """
+    from fawngw.lab import compare as tool
+    from fawngw.lab.powerloss import report
+
+    try:
+        numbers = tool.seeds(seeds)
+    except ValueError as error:
+        raise typer.BadParameter(str(error)) from None
+    workers = jobs or os.cpu_count() or 1
+    if broken:
+        rows = report.broken(len(numbers), workers)
+        if as_json:
+            print(json.dumps([asdict(row) for row in rows]))
+        else:
+            table = Table("put in", "found as", "on seed", "after states", "and seconds", box=None)
+            for row in rows:
+                found = row.breach or "[bold]not found[/bold]"
+                table.add_row(row.name, found, str(row.seed), str(row.states), f"{row.seconds:.1f}")
+            out.print(table)
+        if not all(row.breach for row in rows):
+            raise typer.Exit(1)
+        return
+    began = time.perf_counter()
+    tally = report.whole(numbers, flips, workers)
+    if as_json:
+        print(json.dumps({"states": dict(tally.states), "breaches": dict(tally.breaches)}, sort_keys=True))
+    else:
+        table = Table("kind of state", "tried", box=None)
+        for kind, count in sorted(tally.states.items(), key=lambda item: -item[1]):
+            table.add_row(kind, str(count))
+        out.print(table)
+        out.print(f"{sum(tally.states.values())} states of {len(numbers)} seeds", end="")
+        out.print(f" in {time.perf_counter() - began:.0f} s, {sum(tally.breaches.values())} found bad")
+    for story in tally.stories:
+        print(story, file=sys.stderr)
+    if tally.breaches:
+        raise typer.Exit(1)
+
+
+@app.command()
+def disk(
+    directory: Annotated[Path, typer.Argument(help="where to write; it must not exist")],
+    as_json: AsJson = False,
+) -> None:
+    """Measure the store on a real disk: appends a second beside the raw file, a long log, a large snapshot.
+
+    Example: crowpost lab disk /var/tmp/store-measure
+    """
+    from fawngw.lab.powerloss import speed
+
+    rows = speed.measure(directory)
+    if as_json:
+        print(json.dumps(rows, sort_keys=True))
+        return
+    table = Table("what", "figure", "unit", box=None)
+    for row in rows:
+        table.add_row(row["what"], f"{row['figure']:,.4g}", row["unit"])
+    out.print(table)
+
+
 @app.command()
 def swarm(
     members: Annotated[int, typer.Option(min=2, max=5000)] = 100,
