Keep for a node's next process its list, what it learned and whether it was emptied

Need: after a crash an evacuated node was back in service, and a node without discovery had no list. Off unless NODE_STATE names a file, and then neither imported nor opened otherwise. The list and what was learned are written in parts within a budget of bytes; the drain is acknowledged after its fsync, and the call of staff waits for that, a second at most. Of two processes of one node one writes, and the other takes over once that lets go. Membership begins above its predecessor's incarnation.

--- a/fawngw/cli/main.py
+++ b/fawngw/cli/main.py
@@ -9,6 +9,7 @@
 from fawngw.cli.demo import demo
 from fawngw.cli.lab import app as lab
 from fawngw.cli.members import app as members
+from fawngw.cli.state import app as state
 
 app = typer.Typer(
     name="crowpost",
@@ -18,6 +19,7 @@
 )
 app.add_typer(lab, name="lab")
 app.add_typer(members, name="members")
+app.add_typer(state, name="state")
 app.command()(demo)
 
 
@@ -27,10 +29,11 @@
     from fawngw.lab.runs import RunFolderError
     from fawngw.lab.scenario import ScenarioError
     from fawngw.members.model import MemberError
+    from fawngw.store.model import StoreError
 
     try:
         app()
-    except (ScenarioError, RunFolderError, PolicyError, MemberError) as error:
+    except (ScenarioError, RunFolderError, PolicyError, MemberError, StoreError) as error:
         print(f"crowpost: {error}", file=sys.stderr)
         sys.exit(2)
 
--- /dev/null
+++ b/fawngw/lab/memory.py
@@ -0,0 +1,74 @@
+"""What front nodes keep for their next process, on a simulated platform: the node's own records, on no disk.
+
+Variants of a policy by what is behind its name: `+state`, as it was kept; `+state-old`, an hour older;
+`+state-wrong`, fresh, and given to other servers than it was learned of, with a limit that is far off and
+ejections of servers that nothing is wrong with.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import cast
+
+from fawngw.decide import Balancer
+from fawngw.interface import Remembered, ServerMemory
+from fawngw.lab.nodes import SimNode
+from fawngw.lab.platform import Platform
+from fawngw.node.kept import Kept, Learned, Limit
+
+EVERY_MS = 1_000.0  # as a real node does by default
+HOUR_MS = 3_600_000.0
+WRONG_LIMITS = (0.2, 5.0)  # times what was learned
+VARIANTS = ("+state", "+state-old", "+state-wrong")
+
+
+class FrontMemory:
+    """Each front node keeps what it learns; the process that comes after it is told."""
+
+    def __init__(self, platform: Platform, variant: str, seed: int) -> None:
+        self._platform, self._variant = platform, variant
+        self._rng = Random(f"memory {seed}")
+        self._kept: dict[str, Kept] = {}
+        self._nodes: dict[str, SimNode] = {node.name: node for node in platform.nodes[0]}
+        platform.engine.after(EVERY_MS, self._write)
+        platform.on_new_node = self._born
+
+    def _write(self) -> None:
+        engine = self._platform.engine
+        engine.after(EVERY_MS, self._write)
+        for node in self._platform.nodes[0]:
+            if node.up:
+                kept = self._kept.setdefault(node.name, Kept())
+                balancer = cast(Balancer, node.policy)
+                kept.apply(Learned(engine.now, balancer.remember(0, balancer.pool_size)))
+                kept.apply(Limit(engine.now, balancer.limit_each))
+
+    def _born(self, node: SimNode) -> None:
+        kept = self._kept.get(node.name)
+        if node.stage == 0 and kept is not None:
+            node.hear(self._changed(kept.remembered(self._platform.engine.now)))
+
+    def _changed(self, told: Remembered) -> Remembered:
+        if self._variant == "+state-old":
+            rows = tuple(_aged(m, HOUR_MS) for m in told.servers)
+            return Remembered(rows, told.limit_each, told.limit_age_ms + HOUR_MS)
+        if self._variant == "+state":
+            return told
+        others = list(told.servers)
+        self._rng.shuffle(others)
+        rows = tuple(
+            ServerMemory(m.server, m.started_ms, o.ratio, o.average_ms, self._rng.random() < 0.3, m.age_ms)
+            for m, o in zip(told.servers, others, strict=True)
+        )
+        return Remembered(rows, told.limit_each * self._rng.choice(WRONG_LIMITS), told.limit_age_ms)
+
+
+def _aged(memory: ServerMemory, by_ms: float) -> ServerMemory:
+    return ServerMemory(
+        memory.server,
+        memory.started_ms,
+        memory.ratio,
+        memory.average_ms,
+        memory.ejected,
+        memory.age_ms + by_ms,
+    )
--- a/fawngw/lab/nodes.py
+++ b/fawngw/lab/nodes.py
@@ -22,6 +22,7 @@
     Probe,
     ProbeEnded,
     Refuse,
+    Remembered,
     RequestClass,
     RequestGone,
     Send,
@@ -147,8 +148,8 @@
         self._version += 1
         self._feed(ServerList(kind, rows, self._version))
 
-    def hear(self, event: NodesPresent) -> None:
-        """News of its membership has reached this node."""
+    def hear(self, event: NodesPresent | Remembered) -> None:
+        """News of its membership has reached this node, or of what its predecessor knew."""
         self._feed(event)
 
     def accept(self, ask: Ask) -> None:
--- a/fawngw/lab/platform.py
+++ b/fawngw/lab/platform.py
@@ -37,6 +37,7 @@
         self._news = Random(int(streams[2].generate_state(2, np.uint64)[0]))
         self.classes = request_classes(scenario)
         self.rules = Rules(limits.drain_grace_ms + 50.0, limits.answer_slack_ms + 50.0)
+        self.on_new_node: Callable[[SimNode], None] = lambda node: None
         self.measure = Measure(int(np.ceil(scenario.duration_s)))
         self.policy = policy
         self.servers: dict[ServerId, SimServer] = {}
@@ -51,7 +52,7 @@
         self.asks = 0
         self.stalled_until = 0.0
         self.hot: tuple[float, int] | None = None  # share of traffic, nodes that share it
-        self.samples: dict[str, list[Any]] = {"calls_out": [], "limit": [], "sends": []}
+        self.samples: dict[str, list[Any]] = {"calls_out": [], "limit": [], "sends": [], "sends_slow": []}
         for i in range(scenario.nodes):
             self.nodes[0].append(self.new_node(f"n{i}", 0, i % scenario.network.zones, i))
         for stage, servers in enumerate(self.tiers[:-1]):
@@ -86,7 +87,9 @@
         policy = self.policy(settings, self._policy_seeds.getrandbits(63), self, stage)
         rows = [s.entry() for s in self.tiers[stage] if s.up]
         rng = Random(self._policy_seeds.getrandbits(63))
-        return SimNode(self, name, stage, zone, settings, policy, rng, rows)
+        node = SimNode(self, name, stage, zone, settings, policy, rng, rows)
+        self.on_new_node(node)
+        return node
 
     def restart_node(self, place: int, down_ms: float) -> None:
         """A front node is killed, and comes back knowing nothing."""
@@ -228,6 +231,10 @@
         known = [limit for limit in limits if isinstance(limit, float)]
         self.samples["limit"].append(round(sum(known), 3) if known else None)
         self.samples["sends"].append([list(counts) for counts in self.sends])
+        slow = [[s.place for s in tier if s.trouble.slower > 1.0] for tier in self.tiers]
+        self.samples["sends_slow"].append(
+            [sum(counts[i] for i in places) for counts, places in zip(self.sends, slow, strict=True)]
+        )
         self.sends = [[0] * len(t) for t in self.tiers]
         if self.engine.now < self.scenario.duration_s * 1000.0:
             self.engine.after(SAMPLE_MS, self._sample)
--- a/fawngw/lab/policies.py
+++ b/fawngw/lab/policies.py
@@ -15,6 +15,7 @@
 from fawngw import Balancer
 from fawngw.interface import Settings
 from fawngw.lab import baselines
+from fawngw.lab.memory import VARIANTS
 from fawngw.lab.nodes import Policy
 from fawngw.lab.platform import Platform, PolicyFactory
 
@@ -29,7 +30,8 @@
 
 def factory(name: str) -> PolicyFactory:
     """What builds the nodes' policies; PolicyError if there is none by that name."""
-    name = name.removesuffix(MEMBERS)
+    for suffix in (MEMBERS, *VARIANTS):
+        name = name.removesuffix(suffix)
     plain = {
         "random": baselines.RandomChoice,
         "round-robin": baselines.RoundRobin,
@@ -45,7 +47,9 @@
     if name.startswith("rev:"):
         balancer = revision(name.removeprefix("rev:"))
         return lambda settings, seed, platform, stage: cast(Policy, balancer(settings, seed))
-    known = ", ".join((MODULE, *baselines.names(), "rev:GIT-REVISION", MODULE + MEMBERS))
+    known = ", ".join(
+        (MODULE, *baselines.names(), "rev:GIT-REVISION", MODULE + MEMBERS, *(MODULE + v for v in VARIANTS))
+    )
     raise PolicyError(f"{name}: no such policy; known are {known}")
 
 
--- a/fawngw/lab/runs.py
+++ b/fawngw/lab/runs.py
@@ -14,6 +14,7 @@
 from fawngw.lab.faults import Faults
 from fawngw.lab.measure import ENDS, Measure
 from fawngw.lab.membership import FrontMembership
+from fawngw.lab.memory import VARIANTS, FrontMemory
 from fawngw.lab.nodes import SimNode
 from fawngw.lab.platform import Platform
 from fawngw.lab.policies import MEMBERS, factory
@@ -45,6 +46,9 @@
     Faults(platform)
     if policy.endswith(MEMBERS):
         FrontMembership(platform, seed)
+    variant = next((v for v in VARIANTS if policy.endswith(v)), None)
+    if variant is not None:
+        FrontMemory(platform, variant, seed)
     platform.run()
     return result(platform, policy)
 
--- a/fawngw/members/carrier.py
+++ b/fawngw/members/carrier.py
@@ -56,7 +56,7 @@
         """Monotonic time in ms."""
         return 1000.0 * self._loop.time()
 
-    async def start(self, facts: dict[str, str] | None = None) -> str:
+    async def start(self, facts: dict[str, str] | None = None, incarnation: int = 1) -> str:
         """Bind, begin to join, and return the address that others are told; OSError where it cannot bind."""
         config = self._config
         host, port = split_address(config.listen)
@@ -80,6 +80,7 @@
             birth=secrets.randbits(32),
             now=self.now(),
             tuning=config.tuning,
+            incarnation=incarnation,
         )
         _tell("start", self.now(), member=config.name, listens=bound, address=address, cluster=config.cluster)
         self._after()
--- a/fawngw/members/core.py
+++ b/fawngw/members/core.py
@@ -47,7 +47,7 @@
     """Feed it datagrams and ticks with times in ms that never go back; `take` what follows from them.
 
     contacts: addresses of members to join by, any of which may be down.  birth: 32 random bits, new for each
-    process.
+    process.  incarnation: to begin with; beyond its predecessor's, the others take it for the newer at once.
     """
 
     def __init__(
@@ -60,6 +60,7 @@
         birth: int,
         now: float,
         tuning: Tuning | None = None,
+        incarnation: int = 1,
     ) -> None:
         self.cluster, self.tuning = cluster, tuning or Tuning()
         self.rng = random.Random(seed)
@@ -67,7 +68,7 @@
         self.counts: Counter[str] = Counter()
         self._tag = tag(cluster)
         self._contacts = tuple(c for c in contacts if c != profile.address)
-        own = Claim(profile.name, birth, 1, Phase.JOINING, Verdict.NONE, profile.name, "", profile)
+        own = Claim(profile.name, birth, incarnation, Phase.JOINING, Verdict.NONE, profile.name, "", profile)
         me = self.view.add(profile, own, now)
         assert me is not None  # the table is empty
         self.me = me
--- a/fawngw/node/config.py
+++ b/fawngw/node/config.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from fawngw.members.config import MembersConfig
+    from fawngw.store.config import StateConfig
 
 _DEFAULT_CONN_IDLE_MS = 15_000.0
 # With fewer no request can be served.  A tight limit is the platform's to set, and no reason not to start:
@@ -51,6 +52,7 @@
     management: tuple[str, int] | None = None
     accept_fd: int | None = None  # of the clients' listening socket, where the platform holds it
     members: MembersConfig | None = None  # None: no membership, and nothing of it is imported
+    state: StateConfig | None = None  # None: nothing is kept, and nothing of that is imported
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -79,6 +81,7 @@
         management=_management(environment, raw),
         accept_fd=_descriptor(environment.get("NODE_ACCEPT_FD", "")),
         members=_members(environment, environment.get("NODE_NAME") or str(raw.get("name", ""))),
+        state=_state(environment, environment.get("NODE_NAME") or str(raw.get("name", ""))),
     )
 
 
@@ -157,6 +160,20 @@
         raise ConfigError(f"NODE_MEMBERS: {error}") from None
 
 
+def _state(environment: Mapping[str, str], name: str) -> StateConfig | None:
+    """The state directory, where a file for it is named."""
+    path = environment.get("NODE_STATE", "")
+    if not path:
+        return None
+    from fawngw.store.config import load as load_state
+    from fawngw.store.model import StoreError
+
+    try:
+        return load_state(path, name)
+    except StoreError as error:
+        raise ConfigError(f"NODE_STATE: {error}") from None
+
+
 def _descriptor(text: str) -> int | None:
     if not text:
         return None
--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -7,7 +7,7 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, cast
 
 import httptools
@@ -46,6 +46,7 @@
     whole: bool
     entries: tuple[ServerEntry, ...]
     addresses: dict[ServerId, tuple[str, int]]
+    raw: list[dict[str, Any]] = field(default_factory=list)  # the servers as they were told; of news only
 
     def event(self, *, cached: bool = False) -> ServerList:
         """What the module is told."""
@@ -231,7 +232,8 @@
             self._failures = 0
             return
         try:
-            listing = self._naming.read(json.loads(line))
+            raw = json.loads(line)
+            listing = replace(self._naming.read(raw), raw=raw["instances"])
         except (ValueError, ListError) as error:
             log.warning("discovery: bad line: %s", error)
             self._fail()
--- a/fawngw/node/management.py
+++ b/fawngw/node/management.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import cast
 
@@ -29,7 +29,7 @@
     """What stands behind a path."""
 
     method: bytes
-    run: Callable[[], Reply]
+    run: Callable[[], Reply | Awaitable[Reply]]  # one that is awaited must come within a second or two
 
 
 class _Peer(asyncio.Protocol):
@@ -41,6 +41,7 @@
         self._transport: asyncio.Transport | None = None
         self._answered = False
         self._timer: asyncio.TimerHandle | None = None
+        self._work: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
@@ -73,7 +74,17 @@
         except Exception:
             log.exception("fault in a management call")
             reply = Reply(500)
-        self._answer(reply)
+        if isinstance(reply, Reply):
+            self._answer(reply)
+        else:
+            self._work = asyncio.ensure_future(self._answer_later(reply))
+
+    async def _answer_later(self, reply: Awaitable[Reply]) -> None:
+        try:
+            self._answer(await reply)
+        except Exception:
+            log.exception("fault in a management call")
+            self._answer(Reply(500))
 
     def _give_up(self) -> None:
         if self._reader.within:
@@ -122,7 +133,7 @@
         bound: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return bound
 
-    def reply(self, message: Message) -> Reply:
+    def reply(self, message: Message) -> Reply | Awaitable[Reply]:
         action = self._actions.get(message.start.partition(b"?")[0])
         if action is None:
             return Reply(404)
--- a/fawngw/node/membership.py
+++ b/fawngw/node/membership.py
@@ -18,7 +18,11 @@
 
 
 class Membership:
-    """Joins this node to its cluster.  phase: what it says of itself; post: takes events for the module."""
+    """Joins this node to its cluster.
+
+    phase: what it says of itself; post: takes events for the module; note: is told of each new incarnation,
+    for the next process.
+    """
 
     def __init__(
         self,
@@ -26,8 +30,10 @@
         settings: Settings,
         phase: Callable[[], Phase],
         post: Callable[[NodesPresent], None],
+        note: Callable[[int], None] = lambda incarnation: None,
     ) -> None:
-        self._config, self._phase, self._post = config, phase, post
+        self._config, self._phase, self._post, self._note = config, phase, post, note
+        self._noted = 0
         self._loop = asyncio.get_running_loop()
         self._carrier = Carrier(config, self._changed)
         self._facts = {STAGE: str(settings.stage), ORDINAL: str(settings.ordinal)}
@@ -40,9 +46,9 @@
         )
         self._timer: asyncio.TimerHandle | None = None
 
-    async def start(self) -> None:
+    async def start(self, incarnation: int = 1) -> None:
         """Bind and begin to join; OSError where the address cannot be used."""
-        await self._carrier.start(self._facts)
+        await self._carrier.start(self._facts, incarnation)
         self._look()
 
     def _look(self) -> None:
@@ -53,6 +59,9 @@
             phase = Phase.PRESENT  # once ready, a list that has run empty makes no newcomer of a node
         if phase is not core.me_claim.phase:
             self._carrier.declare(phase)
+        if core.me_claim.incarnation != self._noted:
+            self._noted = core.me_claim.incarnation
+            self._note(self._noted)
         if self._carrier.now() >= self._presence.next_at:
             self._feed()
 
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -13,7 +13,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -47,7 +47,7 @@
 from fawngw.node import management
 from fawngw.node.callers import Ask, Callers, Exchange, adopt
 from fawngw.node.config import Config, ConfigError, read_discovery
-from fawngw.node.discovery import Discovery, Listing
+from fawngw.node.discovery import Discovery, ListError, Listing
 from fawngw.node.drain import Drain, Phase
 from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, Sink, load_report, request_head
 from fawngw.node.management import Management, Reply
@@ -55,6 +55,7 @@
 from fawngw.node.servers import Call, Servers
 
 if TYPE_CHECKING:
+    from fawngw.node.keeping import Keeping
     from fawngw.node.membership import Membership
 
 log = logging.getLogger(__name__)
@@ -128,6 +129,7 @@
         self._address = config.listen
         self._told = False  # discovery has spoken, or has had its time
         self._membership: Membership | None = None
+        self._keeping: Keeping | None = None
         self._listener = adopt(config.accept_fd) if config.accept_fd is not None else None
         part = 1.0 if self._listener is None else SHARED_PART
         sockets = int(part * config.limits.sockets)
@@ -157,8 +159,10 @@
             {
                 b"/api/ready": management.Call(b"GET", lambda: Reply(200 if self.ready() else 503)),
                 b"/api/telemetry": management.Call(b"GET", self._telemetry),
-                b"/api/evacuate": management.Call(b"POST", lambda: _done_or_conflict(self._drain.evacuate())),
-                b"/api/rejoin": management.Call(b"POST", lambda: _done_or_conflict(self._drain.rejoin())),
+                b"/api/evacuate": management.Call(
+                    b"POST", lambda: self._by_staff(self._drain.evacuate(), True)
+                ),
+                b"/api/rejoin": management.Call(b"POST", lambda: self._by_staff(self._drain.rejoin(), False)),
             },
             most=max(MANAGEMENT_LEAST, int(MANAGEMENT_PART * sockets)),
         )
@@ -177,10 +181,12 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.terminate)
         self._loop.add_signal_handler(signal.SIGHUP, self.reconfigure)
-        known = self._config.known
+        known = self._open_state(self._config.known)
         if known is not None:
             self._servers.update(known)
             self._post(known.event(cached=True))
+        if self._keeping is not None:
+            self._post(self._keeping.kept.remembered(self._clock.now()))
         self._discovery.start(known.version if known is not None else 0)
         if self._config.management is not None:
             try:
@@ -196,6 +202,27 @@
             self._loop.call_later(ADOPT_WAIT_S, self._hear)
         return self._address
 
+    def _open_state(self, known: Listing | None) -> Listing | None:
+        """The state directory, where it is configured; the newer of its list and the configuration's."""
+        if self._config.state is None:
+            return known
+        from fawngw.node.keeping import Keeping
+        from fawngw.store.model import StoreError
+
+        self._keeping = Keeping(self._config.state, self._balancer, self._clock.now, self._drain.evacuate)
+        try:
+            self._keeping.open()
+            raw = self._keeping.kept.listing()
+            kept = self._config.naming.read(raw) if raw is not None else None
+        except (StoreError, ListError) as error:
+            raise ConfigError(f"NODE_STATE: {error}") from None
+        if self._keeping.kept.evacuated:
+            log.info("the node was emptied by staff and stays so until rejoin")
+            self._drain.evacuate()
+        if kept is None or (known is not None and known.version > kept.version):
+            return known
+        return kept
+
     async def _join(self) -> None:
         """Membership, where it is configured; nothing of it is imported where it is not."""
         if self._config.members is None:
@@ -208,9 +235,11 @@
                 return MemberPhase.LEAVING
             return MemberPhase.PRESENT if self.ready() else MemberPhase.JOINING
 
-        self._membership = Membership(self._config.members, self._config.settings, phase, self._post)
+        keeping = self._keeping
+        note = keeping.note_incarnation if keeping is not None else lambda incarnation: None
+        self._membership = Membership(self._config.members, self._config.settings, phase, self._post, note)
         try:
-            await self._membership.start()
+            await self._membership.start(keeping.kept.incarnation + 1 if keeping is not None else 1)
         except OSError as error:
             raise ConfigError(f"NODE_MEMBERS: members.listen cannot be used: {error}") from None
 
@@ -243,6 +272,8 @@
         self._servers.close()
         if self._membership is not None:
             await self._membership.close()
+        if self._keeping is not None:
+            await self._keeping.close()
 
     # ------------------------------------------------------------ events in, actions out
 
@@ -539,29 +570,45 @@
     def _on_list(self, listing: Listing) -> None:
         self._servers.update(listing)
         self._post(listing.event())
+        if self._keeping is not None:
+            self._keeping.note_list(listing.whole, listing.version, listing.raw)
         self._hear()
 
     # ------------------------------------------------------------ staff, and the end
 
+    def _by_staff(self, done: bool, evacuated: bool) -> Reply | Awaitable[Reply]:
+        """The answer to a drain that is done, once it is kept; 409 where it could not be."""
+        if not done:
+            return Reply(409)
+        return Reply(200) if self._keeping is None else self._kept_by_staff(self._keeping, evacuated)
+
+    @staticmethod
+    async def _kept_by_staff(keeping: Keeping, evacuated: bool) -> Reply:
+        why = await keeping.keep_drain(evacuated)
+        return Reply(200, f"done, but a restart may forget it: {why}\n".encode() if why else b"")
+
     def _telemetry(self) -> Reply:
         balancer = self._balancer
         figures = self._metrics.render(
             active=sum(not pending.uploading for pending in self._requests.values()),
             pool_size=balancer.pool_size,
             pool_ejected=balancer.pool_ejected,
-            more=self._membership.figures() if self._membership is not None else None,
+            more={
+                name: value
+                for part in (self._membership, self._keeping)
+                if part is not None
+                for name, value in part.figures().items()
+            },
         )
         return Reply(200, figures)
 
     def terminate(self) -> None:
         """SIGTERM: no longer ready; answer what is here and what still comes, then end."""
         self._drain.leave()
+        if self._keeping is not None:
+            self._keeping.close()  # at once: a process beside this one may be waiting for the directory
 
     def _fail_rest(self) -> None:
         """Few moments are left before SIGKILL: an answer that promises nothing beats none."""
         for request in [r for r, pending in self._requests.items() if pending.started is None]:
             self._answer_fault(request)
-
-
-def _done_or_conflict(done: bool) -> Reply:
-    return Reply(200 if done else 409)
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -16,6 +16,7 @@
 from fawngw.node.discovery import Naming
 from fawngw.node.node import Node
 from fawngw.settings import read_settings
+from fawngw.store.config import StateConfig
 
 HOST = "127.0.0.1"
 PATIENCE_S = 20.0  # for what must come; reached only by a failing test
@@ -346,6 +347,7 @@
     path: str = "",
     accept_fd: int | None = None,
     members: MembersConfig | None = None,
+    state: StateConfig | None = None,
     **changes: Any,
 ) -> AsyncIterator[World]:
     """A node that knows these servers; changes go into its settings."""
@@ -366,6 +368,7 @@
             management=(HOST, 0),
             accept_fd=accept_fd,
             members=members,
+            state=state,
         )
         node = Node(config)
         address = await node.start()
