Play power losses and drains on real nodes, and keep lists packed

The rig's storms may give nodes state directories: power_loss kills a node and leaves on its disk what a machine may leave of writes that no fsync had covered, evacuate asks as staff would. Checks: nothing kept is lost, a node that was emptied stays so, no directory is refused.

Lists are kept packed, since ten thousand tables cost each full garbage collection milliseconds.

--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -222,6 +222,7 @@
     scenario: Which,
     seed: Annotated[int, typer.Option(min=0)] = 1,
     folder: OutFolder = None,
+    state: Annotated[bool, typer.Option("--state", help="front nodes keep a state directory each")] = False,
     as_json: AsJson = False,
 ) -> None:
     """Play a scenario on loopback sockets around real node processes; exit code 1 if a rule was broken."""
@@ -231,7 +232,7 @@
     kept = _kept(folder, played)
     began = time.perf_counter()
     err = console(stderr=True)
-    result = play_live(played, seed, err.print)
+    result = play_live(played, seed, err.print, state=state)
     if kept is not None:
         kept.add(result)
     if as_json:
--- a/fawngw/lab/live/play.py
+++ b/fawngw/lab/live/play.py
@@ -37,7 +37,10 @@
 class LiveRun:
     """One run on sockets.  Times are ms on a clock that begins with the first request's time 0."""
 
-    def __init__(self, scenario: Scenario, seed: int, folder: Path, say: Callable[[str], None]) -> None:
+    def __init__(
+        self, scenario: Scenario, seed: int, folder: Path, say: Callable[[str], None], *, state: bool = False
+    ) -> None:
+        self.state = state
         unknown = sorted(SIMULATED_ONLY.intersection(f.kind for f in scenario.faults))
         if unknown:
             raise LiveError(f"{scenario.name}: {', '.join(unknown)} cannot be played on sockets")
@@ -106,7 +109,13 @@
         settings = settings_json(node_settings(self.scenario, stage, ordinal, zone), self.scenario)
         discovery = self.discoveries[stage]
         return NodeProcess(
-            name, self.folder, settings, discovery.address, discovery.listing(), self.world.getrandbits(32)
+            name,
+            self.folder,
+            settings,
+            discovery.address,
+            discovery.listing(),
+            self.world.getrandbits(32),
+            state=self.state and stage == 0,
         )
 
     async def _build(self) -> None:
@@ -452,10 +461,12 @@
         }
 
 
-def play_live(scenario: Scenario, seed: int, say: Callable[[str], None]) -> dict[str, Any]:
+def play_live(
+    scenario: Scenario, seed: int, say: Callable[[str], None], *, state: bool = False
+) -> dict[str, Any]:
     """Play a scenario on loopback; LiveError or NodeError with one line if it cannot be."""
     with tempfile.TemporaryDirectory(prefix="crowpost-") as folder:
-        return asyncio.run(LiveRun(scenario, seed, Path(folder), say).run())
+        return asyncio.run(LiveRun(scenario, seed, Path(folder), say, state=state).run())
 
 
 __all__ = ["LiveError", "LiveRun", "NodeError", "play_live"]
--- a/fawngw/lab/live/processes.py
+++ b/fawngw/lab/live/processes.py
@@ -89,7 +89,9 @@
         discovery: str,
         known: dict[str, Any],
         seed: int,
+        state: bool = False,
     ) -> None:
+        self.state = state  # whether it keeps a state directory
         self.name, self.folder, self.discovery, self.seed = name, folder, discovery, seed
         self.settings, self.known = settings, known
         self.port = 0
@@ -117,6 +119,10 @@
             "NODE_DISCOVERY": self.discovery,
             "NODE_CONFIG": str(config),
         }
+        if self.state:
+            file = self.folder / f"{self.name}-state.toml"
+            file.write_text(f"[state]\ndirectory = {json.dumps(str(self.folder / f'{self.name}-state'))}\n")
+            environment["NODE_STATE"] = str(file)
         pass_fds: tuple[int, ...] = ()
         if self.listener is not None:
             environment["NODE_ACCEPT_FD"] = str(self.listener)
--- a/fawngw/lab/powerloss/kills.py
+++ b/fawngw/lab/powerloss/kills.py
@@ -55,7 +55,7 @@
 
 def kill_again_and_again(path: Path, seed: int, kills: int) -> dict[str, Any]:
     """One directory and one worker after another; what was found wrong is a list of lines."""
-    rng, wrong, told = Random(f"kills {seed}"), list[str](), 0
+    rng, wrong, told, done = Random(f"kills {seed}"), list[str](), 0, 0
     for number in range(kills):
         command = [sys.executable, "-m", "fawngw.lab.powerloss.kills", str(path), "--work", str(seed)]
         worker = Popen(command, stdout=PIPE, stderr=DEVNULL)
@@ -63,6 +63,7 @@
         first = worker.stdout.readline()
         time.sleep(LIVES_S * rng.random())
         worker.kill()
+        done += 1
         lines = (first + worker.stdout.read()).split()
         worker.stdout.close()
         worker.wait()
@@ -80,7 +81,7 @@
             wrong.append(f"seed {seed}, kill {number}: the snapshot of {base} is not what was written")
         if any(r.payload != payload(r.sequence, seed) for r in found.records):
             wrong.append(f"seed {seed}, kill {number}: a record is not what was written")
-    return {"kills": kills, "records": told, "wrong": wrong}
+    return {"kills": done, "records": told, "wrong": wrong}
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -95,6 +96,7 @@
         with contextlib.suppress(KeyboardInterrupt):
             asyncio.run(work(chosen.path, chosen.work))
         return 0
+    chosen.path.mkdir(parents=True, exist_ok=True)
     each = [chosen.kills // chosen.jobs + (i < chosen.kills % chosen.jobs) for i in range(chosen.jobs)]
     with ThreadPoolExecutor(chosen.jobs) as pool:
         played = [
--- a/fawngw/lab/rig/history.py
+++ b/fawngw/lab/rig/history.py
@@ -52,6 +52,8 @@
     everywhere_s: list[float] = field(default_factory=list)  # and until all did that could
     changes: int = 0
     ended: int = 0  # processes that ended though nothing told them to
+    states: int = 0  # state directories read after a power loss
+    starts: int = 0  # starts after which a process was asked whether it stays empty
 
     def plain(self) -> dict[str, Any]:
         """As JSON values, with percentiles."""
@@ -108,9 +110,40 @@
     _false_deaths(told, excused, down, verdict)
     _detections(told, excused, down, verdict)
     _one_view(final, verdict)
+    _states(ordered, verdict)
     return verdict
 
 
+def _states(lines: list[dict[str, Any]], verdict: Verdict) -> None:
+    """What was kept is there after each power loss, and a node that staff have emptied stays so."""
+    asked: dict[str, set[bool]] = {}  # what a process may hold: one value, two while staff are asking
+    before: dict[str, dict[str, Any]] = {}
+    for line in lines:
+        event, about = line["event"], line.get("about", "")
+        if event == "asking":
+            asked.setdefault(about, {False}).add(line["emptied"])
+        elif event == "asked":
+            asked[about] = {line["emptied"]}
+        elif event == "unanswered":
+            verdict.breaches.append(f"{about}: {line['words']}")
+        elif event == "started":
+            verdict.starts += 1
+            if line["emptied"] not in asked.get(about, {False}):
+                verdict.breaches.append(
+                    f"{about} {'is empty' if line['emptied'] else 'serves'} after a start"
+                )
+        elif event == "state":
+            if "refused" in line:
+                verdict.breaches.append(f"{about}: {line['when']} the power loss: {line['refused']}")
+            elif line["when"] == "before":
+                before[about] = line
+            else:
+                verdict.states += 1
+                was = before[about]
+                if any(line[key] != was[key] for key in ("last", "emptied", "incarnation")):
+                    verdict.breaches.append(f"{about}: a power loss made {line} of {was}")
+
+
 def _false_deaths(
     told: list[tuple[float, str, str]],
     excused: dict[str, list[_Span]],
--- a/fawngw/lab/rig/plan.py
+++ b/fawngw/lab/rig/plan.py
@@ -34,6 +34,8 @@
     "starve",
     "replay",
     "junk",
+    "power_loss",
+    "evacuate",
 ]
 
 
@@ -42,7 +44,7 @@
 
     kind: BadKind
     at_s: NotNegative
-    for_s: Positive = 10.0  # kill: until it is started again; upgrade: both run; stop, links: how long
+    for_s: Positive = 10.0  # kill, power_loss: until the next start; upgrade: both run; else how long
     part: Share = 0.1
     size: NotNegative = (
         0.1  # loss, duplicate, reorder: share of datagrams; starve: share of time that it runs
@@ -62,6 +64,7 @@
     quiet_s: Positive = 20.0
     zones: Count = 2
     program: Literal["node", "member"] = "node"
+    state: bool = False  # nodes keep a state directory each
     bad: tuple[Bad, ...] = ()
     tuning: dict[str, float] = msgspec.field(default_factory=dict)  # of members.toml
 
@@ -88,6 +91,8 @@
             raise ScenarioError(f"{path}: bad[{i}].for_s: it ends past the storm's end, {storm.duration_s} s")
         if bad.kind in ("loss", "duplicate", "reorder", "starve") and bad.size > 1.0:
             raise ScenarioError(f"{path}: bad[{i}].size: a share of {bad.size}")
+        if bad.kind in ("power_loss", "evacuate") and not (storm.state and storm.program == "node"):
+            raise ScenarioError(f"{path}: bad[{i}].kind: {bad.kind} needs nodes with state = true")
     return storm
 
 
--- a/fawngw/lab/rig/processes.py
+++ b/fawngw/lab/rig/processes.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import re
 import signal
 import sys
 from collections import deque
@@ -17,6 +18,8 @@
 from fawngw.lab.rig.relays import own_ip
 
 MARK = " members {"
+MANAGED = re.compile(r" is managed on ([0-9.]+):([0-9]+)")
+MANAGE_S = 5.0  # for one call to a second address
 BINDS_S = 30.0  # from the start of a process until it has bound its address
 SLICE_S = 0.2  # a starved process runs for a part of each such time
 
@@ -55,6 +58,8 @@
     def __init__(self, name: str, index: int, storm: Storm, folder: Path, history: History) -> None:
         self.name, self.index, self.storm, self.folder, self.history = name, index, storm, folder, history
         self.listens: tuple[str, int] | None = None
+        self.managed: tuple[str, int] | None = None  # its second address
+        self.state = folder / f"{name}-state"
         self.expected_up = False
         self.starts = 0
         self.words: deque[str] = deque(maxlen=40)
@@ -83,6 +88,10 @@
             config.write_text(json.dumps(node_config(self.index, self.storm.processes)))
             environment |= {"NODE_LISTEN": f"{own_ip(self.index)}:0", "NODE_DISCOVERY": "127.0.0.1:9"}
             environment |= {"NODE_CONFIG": str(config), "NODE_MEMBERS": str(members)}
+            if self.storm.state:
+                file = self.folder / f"{self.name}-state.toml"
+                file.write_text(f"[state]\ndirectory = {json.dumps(str(self.state))}\nevery_ms = 100\n")
+                environment |= {"NODE_STATE": str(file), "NODE_MANAGEMENT": f"{own_ip(self.index)}:0"}
             command = [sys.executable, "-m", "fawngw"]
         self.process = await asyncio.create_subprocess_exec(
             *command, env=environment, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE
@@ -114,6 +123,8 @@
         while raw := await process.stderr.readline():
             line = raw.decode(errors="replace").rstrip()
             self.words.append(line)
+            if (found := MANAGED.search(line)) is not None and process is self.process:
+                self.managed = found[1], int(found[2])
             if MARK not in line:
                 continue
             told = json.loads(line[line.index(MARK) + len(MARK) - 1 :])
@@ -131,6 +142,21 @@
                 self.history.add(self.name, "ended", at, code=code, words=self.last_words())
             self.bound.set()
 
+    async def manage(self, method: str, call: str) -> tuple[int, bytes]:
+        """One call to the second address: status and body; OSError or TimeoutError without an answer."""
+        if self.managed is None:
+            raise ConnectionError(f"{self.name} has no second address")
+        reader, writer = await asyncio.open_connection(*self.managed)
+        try:
+            writer.write(f"{method} /api/{call} HTTP/1.1\r\nHost: rig\r\n\r\n".encode())
+            answer = await asyncio.wait_for(reader.read(), MANAGE_S)
+        finally:
+            writer.close()
+        head, _, body = answer.partition(b"\r\n\r\n")
+        if not head:
+            raise ConnectionError(f"{self.name} closed without an answer")
+        return int(head.split()[1]), body
+
     # ------------------------------------------------------------ signals, to its own id only
 
     def send(self, number: signal.Signals) -> None:
--- a/fawngw/lab/rig/storm.py
+++ b/fawngw/lab/rig/storm.py
@@ -14,17 +14,23 @@
 
 import uvloop
 
+from fawngw.lab.rig import torn
 from fawngw.lab.rig.history import History, Verdict, check
 from fawngw.lab.rig.plan import Act, Storm, timetable
 from fawngw.lab.rig.processes import RigProcess
 from fawngw.lab.rig.relays import Relays
 from fawngw.members.carrier import ask_all
+from fawngw.node.kept import read
+from fawngw.store.carrier import look
+from fawngw.store.model import StoreError
 
 CONTACTS = 3
 AT_ONCE = 8  # processes that start at the same time: a start takes a core
 JOIN_S = 60.0  # for all to hold all present, before the first trouble
 LOOK_S = 0.5
 ASK_S = 5.0
+STAFF_TRIES = 60
+READY_S = 5.0  # after its start a node that has not been emptied serves
 LINKS = ("loss", "delay", "duplicate", "reorder", "slow_link", "one_way", "partition")
 
 
@@ -95,6 +101,22 @@
         await process.start(self.relays.addresses[name], contacts)
         assert process.listens is not None
         self.relays.targets[name] = process.listens
+        if self.storm.state:
+            await self._tell_ready(process)
+
+    async def _tell_ready(self, process: RigProcess) -> None:
+        """Whether it serves soon after its start, or stays empty as staff have asked."""
+        until = self._loop.time() + READY_S
+        started = process.process
+        try:
+            while (await process.manage("GET", "ready"))[0] != 200 and self._loop.time() < until:
+                await asyncio.sleep(0.1)
+        except (OSError, TimeoutError) as error:
+            if process.expected_up and process.process is started:  # else the next trouble has come
+                self.history.add("rig", "unanswered", self._now(), about=process.name, words=str(error))
+            return
+        emptied = self._loop.time() >= until
+        self.history.add("rig", "started", self._now(), about=process.name, emptied=emptied)
 
     # ------------------------------------------------------------ troubles
 
@@ -125,6 +147,8 @@
             "starve": self._starve,
             "replay": self._replay,
             "junk": self._junk,
+            "power_loss": self._power_loss,
+            "evacuate": self._evacuate,
         }
         await asyncio.gather(*(each[bad.kind](name, act) for name in act.victims))
 
@@ -136,6 +160,48 @@
         self.history.add("rig", "up", self._now(), about=name)
         await self._start(name)
 
+    async def _power_loss(self, name: str, act: Act) -> None:
+        """SIGKILL, and on the disk what a machine may leave of writes that no fsync had covered yet."""
+        process = self.processes[name]
+        self.history.add("rig", "down", self._now(), about=name, how="power")
+        await process.kill()
+        self._tell_state(process, "before")
+        torn.leave(process.state, self.rng)
+        self._tell_state(process, "after")
+        await asyncio.sleep(act.bad.for_s)
+        self.history.add("rig", "up", self._now(), about=name)
+        await self._start(name)
+
+    def _tell_state(self, process: RigProcess, when: str) -> None:
+        try:
+            found = look(process.state, process.name)
+            kept = read(found)
+        except StoreError as error:
+            self.history.add("rig", "state", self._now(), about=process.name, when=when, refused=str(error))
+            return
+        told = {"last": found.next_sequence - 1, "emptied": kept.evacuated, "incarnation": kept.incarnation}
+        self.history.add("rig", "state", self._now(), about=process.name, when=when, **told)
+
+    async def _evacuate(self, name: str, act: Act) -> None:
+        await self._staff(name, "evacuate", True)
+        await asyncio.sleep(act.bad.for_s)
+        await self._staff(name, "rejoin", False)
+
+    async def _staff(self, name: str, call: str, emptied: bool) -> None:
+        """Ask until it has been done and kept, as staff would; a process that is just away is waited for."""
+        for _ in range(STAFF_TRIES):
+            self.history.add("rig", "asking", self._now(), about=name, emptied=emptied)
+            try:
+                status, body = await self.processes[name].manage("POST", call)
+            except (OSError, TimeoutError):
+                await asyncio.sleep(LOOK_S)
+                continue
+            if status == 200 and not body:
+                self.history.add("rig", "asked", self._now(), about=name, emptied=emptied)
+                return
+            await asyncio.sleep(LOOK_S)
+        self.history.add("rig", "unanswered", self._now(), about=name, words=f"{call} was never kept")
+
     async def _restart(self, name: str, act: Act) -> None:
         """In order; it listens on another port each time."""
         process = self.processes[name]
--- a/fawngw/node/keeping.py
+++ b/fawngw/node/keeping.py
@@ -132,7 +132,7 @@
         if own.incarnation > kept.incarnation:
             self._write(Incarnation(own.incarnation))
         if own.generation > kept.generation:
-            self.note_list(True, own.generation, list(own.instances.values()))
+            self.note_list(True, own.generation, own.listed())
 
     def _give_up(self, error: StoreError) -> None:
         self.damaged = str(error)
@@ -195,7 +195,7 @@
             self._write(self._lists.popleft())
         else:
             self._learn()
-        if not self.kept.staged and core.written.logged - self._logged >= self._config.snapshot_bytes:
+        if self.kept.staged is None and core.written.logged - self._logged >= self._config.snapshot_bytes:
             keeper.snapshot(self.kept.pieces())
             self._logged = core.written.logged
 
--- a/fawngw/node/kept.py
+++ b/fawngw/node/kept.py
@@ -112,21 +112,19 @@
     """The state after some facts."""
 
     generation: int = 0
-    instances: dict[str, Instance] = field(default_factory=dict)
+    # Packed, each by itself: ten thousand tables would cost every full garbage collection milliseconds.
+    instances: dict[str, bytes] = field(default_factory=dict)
     servers: dict[ServerId, tuple[float, ServerMemory]] = field(default_factory=dict)  # with its time
     limit: Limit = Limit(0.0, 0.0)
     evacuated: bool = False
     incarnation: int = 0
-    staged: list[ListPart] = field(default_factory=list)  # parts of a list whose last has not come
+    staged: dict[str, bytes] | None = None  # the list that will hold once its last part has come
 
     def apply(self, fact: Fact) -> None:
         """Take in one more."""
         match fact:
             case ListPart():
-                self.staged.append(fact)
-                if not fact.more:
-                    self._list(self.staged)
-                    self.staged = []
+                self._list(fact)
             case Learned(at, memories):
                 self.servers.update((m.server, (at, m)) for m in memories)
             case Limit():
@@ -136,17 +134,20 @@
             case Incarnation(number):
                 self.incarnation = number
 
-    def _list(self, staged: list[ListPart]) -> None:
-        if staged[0].reset:
-            self.instances = {}
-        for part in staged:
-            for instance in part.instances:
-                name = instance["instanceId"]
-                if instance["lifecycle"] == "DELETED":
-                    self.instances.pop(name, None)
-                else:
-                    self.instances[name] = instance
-        self.generation = staged[-1].generation
+    def _list(self, part: ListPart) -> None:
+        if part.reset:
+            self.staged = {}
+        elif self.staged is None:
+            self.staged = self.instances if not part.more else dict(self.instances)
+        for instance in part.instances:
+            name = instance["instanceId"]
+            if instance["lifecycle"] == "DELETED":
+                self.staged.pop(name, None)
+            else:
+                self.staged[name] = msgpack.packb(instance)
+        if part.more:
+            return
+        self.instances, self.staged, self.generation = self.staged, None, part.generation
         if len(self.servers) > 2 * len(self.instances) + 100:
             listed = {name.encode() for name in self.instances}
             self.servers = {name: row for name, row in self.servers.items() if name in listed}
@@ -157,7 +158,11 @@
         """The whole list in discovery's own form; None if none was kept."""
         if not self.generation:
             return None
-        return {"generation": self.generation, "reset": True, "instances": list(self.instances.values())}
+        return {"generation": self.generation, "reset": True, "instances": self.listed()}
+
+    def listed(self) -> list[Instance]:
+        """The servers of the list, as discovery told them."""
+        return [msgpack.unpackb(packed) for packed in self.instances.values()]
 
     def remembered(self, now: float) -> Remembered:
         """What the module is told: each fact with its age, and none that seems to come from the future."""
@@ -177,11 +182,12 @@
 
 
 def _pieces(
-    facts: list[Fact], generation: int, instances: list[Instance], servers: list[tuple[float, ServerMemory]]
+    facts: list[Fact], generation: int, instances: list[bytes], servers: list[tuple[float, ServerMemory]]
 ) -> Iterator[bytes]:
     yield from (fact.pack() for fact in facts)
-    if generation:
-        yield from (part.pack() for part in parts(True, generation, instances))
+    for i in range(0, max(len(instances), 1) if generation else 0, PIECE):
+        some = [msgpack.unpackb(packed) for packed in instances[i : i + PIECE]]
+        yield ListPart(not i, generation, some, i + PIECE < len(instances)).pack()
     by_time: dict[float, list[ServerMemory]] = {}
     for at, memory in servers:
         by_time.setdefault(at, []).append(memory)
@@ -195,5 +201,5 @@
     kept = Kept()
     for payload in (*found.snapshot, *(r.payload for r in found.records)):
         kept.apply(unpack(payload))
-    kept.staged = []  # of a list whose end never came
+    kept.staged = None  # of a list whose end never came
     return kept
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -31,7 +31,7 @@
         assert act.victims and (bool(act.links) == (act.bad.kind not in ACTS))
 
 
-ACTS = ("kill", "restart", "upgrade", "stop", "starve", "replay", "junk")
+ACTS = ("kill", "restart", "upgrade", "stop", "starve", "replay", "junk", "power_loss", "evacuate")
 
 
 @pytest.mark.parametrize(
@@ -109,6 +109,37 @@
     assert check([ended, *GOOD]).breaches == ["b ended by itself with -6: fatal"]
 
 
+def state(when: str, last: int = 9, **more: Any) -> dict[str, Any]:
+    told = {"last": last, "emptied": False, "incarnation": 3} | more
+    return line(30, "rig", "state", about="b", when=when, **told)
+
+
+def test_a_power_loss_that_changes_what_was_kept_is_found() -> None:
+    assert check([state("before"), state("after"), *GOOD]).breaches == []
+    assert check([state("before"), state("after"), *GOOD]).states == 1
+    for after in (state("after", 8), state("after", emptied=True), state("after", incarnation=2)):
+        assert len(check([state("before"), after, *GOOD]).breaches) == 1
+    refused = line(30, "rig", "state", about="b", when="after", refused="log-1 is damaged")
+    assert check([refused, *GOOD]).breaches == ["b: after the power loss: log-1 is damaged"]
+
+
+def test_a_node_that_forgets_what_staff_asked_is_found() -> None:
+    asking = line(10, "rig", "asking", about="b", emptied=True)
+    asked = line(11, "rig", "asked", about="b", emptied=True)
+    empty, serves = (line(20, "rig", "started", about="b", emptied=e) for e in (True, False))
+    assert check([asking, asked, empty, *GOOD]).breaches == []
+    assert ["b serves after a start" in b for b in check([asking, asked, serves, *GOOD]).breaches] == [True]
+    assert check([asking, serves, *GOOD]).breaches == check([asking, empty, *GOOD]).breaches == []
+    assert ["b is empty after a start" in b for b in check([empty, *GOOD]).breaches] == [True]
+
+
+def test_a_power_loss_needs_a_state_directory(tmp_path: Path) -> None:
+    file = tmp_path / "t.toml"
+    file.write_text(HEAD + '[[bad]]\nkind = "power_loss"\nat_s = 1.0\nfor_s = 1.0\n')
+    done = crowpost("lab", "storm", str(file))
+    assert done.returncode == 2 and "power_loss needs nodes with state = true" in done.stderr
+
+
 # ---------------------------------------------------------------- relays
 
 
