--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -215,7 +215,7 @@
             raw = self._keeping.kept.listing()
             kept = self._config.naming.read(raw) if raw is not None else None
         except (StoreError, ListError) as error:
-            raise ConfigError(f"NODE_STATE: {error}") from None
+            raise ConfigError(f"NODE_STATE: {self._config.state.directory}: {error}") from None
         if self._keeping.kept.evacuated:
             log.info("the node was emptied by staff and stays so until rejoin")
             self._drain.evacuate()
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -365,7 +365,7 @@
                 answer = await w.manage("POST", "/api/evacuate")
                 assert answer.status == 200 and b"is damaged at byte" in answer.body
             assert log.read_bytes() == data
-            with pytest.raises(ConfigError, match="NODE_STATE: log-.* is damaged at byte"):
+            with pytest.raises(ConfigError, match="NODE_STATE: .*/state: log-.* is damaged at byte"):
                 async with world(row("a", server.address), state=config(tmp_path, on_damage="refuse")):
                     pass
 
