--- a/fawngw/node/keeping.py
+++ b/fawngw/node/keeping.py
@@ -10,6 +10,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from typing import Any, Protocol
 
 from fawngw.interface import ServerMemory
@@ -63,10 +64,10 @@
         config: StateConfig,
         learner: Learner,
         clock: Callable[[], float],
-        on_evacuated: Callable[[], object],
+        on_drain: Callable[[bool], object],
     ) -> None:
         self._config, self._learner, self._clock = config, learner, clock
-        self._on_evacuated = on_evacuated  # the process before was emptied by staff while this one started
+        self._on_drain = on_drain  # staff told the process before, while this one started
         self._loop = asyncio.get_running_loop()
         self._keeper: Keeper | None = None
         self._lists: deque[ListPart] = deque()  # that are still to be written
@@ -127,8 +128,8 @@
         tell("taken_over", path=str(self._config.directory))
         if self._said_drain:
             self._write(Evacuated(own.evacuated), Durability.ACKNOWLEDGED)
-        elif kept.evacuated and not own.evacuated:
-            self._on_evacuated()
+        elif kept.evacuated != own.evacuated:
+            self._on_drain(kept.evacuated)
         if own.incarnation > kept.incarnation:
             self._write(Incarnation(own.incarnation))
         if own.generation > kept.generation:
@@ -142,7 +143,7 @@
 
     def note_list(self, reset: bool, generation: int, instances: Sequence[dict[str, Any]]) -> None:
         """A list or a change of it, as discovery told it; written in parts, one at a look."""
-        if self.damaged:
+        if self.damaged or (self._keeper is not None and self._keeper.core.failed):
             return
         for part in parts(reset, generation, instances):
             if self._keeper is None:
@@ -184,14 +185,14 @@
                 self._taking = None if self.damaged else self._loop.create_task(self._take_over())
             return
         core = keeper.core
-        if core.failed or core.kept < self._last:
-            return  # the budget is used up, or the disk is slow: later
         if len(self._lists) > LISTS_MOST:
             # News comes faster than it may be written: a snapshot says it all at once.
             while self._lists:
                 self.kept.apply(self._lists.popleft())
             self._logged = -self._config.snapshot_bytes
-        elif self._lists:
+        if core.failed or core.kept < self._last:
+            return  # the budget is used up, or the disk is slow: later
+        if self._lists:
             self._write(self._lists.popleft())
         else:
             self._learn()
@@ -229,7 +230,7 @@
         keeper = self._keeper
         if keeper is None:
             return
-        if not keeper.core.failed:
+        with suppress(StoreError):  # that writing has stopped was told when it did
             for part in self._lists:
                 keeper.append(part.pack(), Durability.SOON)
                 await asyncio.sleep(0)
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -209,7 +209,10 @@
         from fawngw.node.keeping import Keeping
         from fawngw.store.model import StoreError
 
-        self._keeping = Keeping(self._config.state, self._balancer, self._clock.now, self._drain.evacuate)
+        def drain(evacuated: bool) -> bool:
+            return self._drain.evacuate() if evacuated else self._drain.rejoin()
+
+        self._keeping = Keeping(self._config.state, self._balancer, self._clock.now, drain)
         try:
             self._keeping.open()
             raw = self._keeping.kept.listing()
--- a/fawngw/store/carrier.py
+++ b/fawngw/store/carrier.py
@@ -78,6 +78,10 @@
         except OSError as error:
             name = getattr(operation, "file", "the directory")
             return f"{type(operation).__name__.lower()} of {disk.path / name}: {words(error)}", filled
+        except Exception as error:
+            # A piece that could not be made: without an end of the job the store would wait for ever.
+            log.exception("fault in a job of the store")
+            return f"{type(operation).__name__.lower()}: {error!r}", filled
     return None, filled
 
 
--- a/fawngw/store/disk.py
+++ b/fawngw/store/disk.py
@@ -63,8 +63,11 @@
             raise StoreError(f"{path}: {words(error)}") from None
 
     def names(self) -> list[str]:
-        """Files of the directory."""
-        return [entry.name for entry in os.scandir(self.path) if entry.is_file(follow_symlinks=False)]
+        """Files of the directory; StoreError where it cannot be read."""
+        try:
+            return [entry.name for entry in os.scandir(self.path) if entry.is_file(follow_symlinks=False)]
+        except OSError as error:
+            raise StoreError(f"{self.path}: {words(error)}") from None
 
     def read(self, name: str) -> bytes:
         """The whole content of a file; StoreError where it cannot be read."""
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import threading
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -41,7 +42,7 @@
 )
 from fawngw.store.carrier import look
 from fawngw.store.config import StateConfig, load
-from fawngw.store.model import StoreError
+from fawngw.store.model import Durability, StoreError
 from tests.stubs import PATIENCE_S, StubDiscovery, StubServer, listing, reply, row, run, tell, world
 from tests.test_cli import crowpost
 from tests.test_run import _configuration, _environment, _start, _told
@@ -296,7 +297,11 @@
                 keeping = new.node._keeping
                 await until(lambda: keeping.figures()["state_writing"])
                 assert (await new.manage("GET", "/api/ready")).status == 503  # what staff asked of the node
-                assert (await new.manage("POST", "/api/rejoin")).body == b""
+                async with world(row("a", server.address), state=config(tmp_path)) as newest:
+                    assert (await newest.manage("GET", "/api/ready")).status == 503
+                    assert (await new.manage("POST", "/api/rejoin")).body == b""
+                    new.node.terminate()
+                    await until(newest.node.ready)
                 await first.__aexit__(None, None, None)
             assert not read(look(tmp_path / "state")).evacuated
 
@@ -350,6 +355,32 @@
     run(main())
 
 
+def test_a_snapshot_that_cannot_be_made_stops_the_writing_and_nothing_else(tmp_path: Path) -> None:
+    def pieces() -> Iterator[bytes]:
+        raise ValueError("no such fact")
+        yield b""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(row("a", server.address), state=config(tmp_path)) as w,
+        ):
+            assert w.node._keeping is not None
+            keeping = w.node._keeping
+            await until(lambda: keeping.figures()["state_records"])
+            assert keeping._keeper is not None
+            keeping._keeper.append(Evacuated(False).pack(), Durability.SOON)
+            keeping._keeper.snapshot(pieces())
+            await until(lambda: not keeping.figures()["state_writing"])
+            assert (await (await w.caller()).ask("look")).status == 200
+            for version in range(3):
+                keeping.note_list(False, version, [])
+            assert not keeping._lists
+        assert not read(look(tmp_path / "state")).evacuated
+
+    run(main())
+
+
 def test_a_damaged_directory_is_left_alone_and_told(tmp_path: Path) -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server:
