Add no news of the list to a state directory that is being closed

The parts of a list that still waited were walked through while news could add to them, which would have ended the node with an error after SIGTERM. They are taken off one by one, and nothing is added once it closes.

--- a/fawngw/node/keeping.py
+++ b/fawngw/node/keeping.py
@@ -143,7 +143,9 @@
 
     def note_list(self, reset: bool, generation: int, instances: Sequence[dict[str, Any]]) -> None:
         """A list or a change of it, as discovery told it; written in parts, one at a look."""
-        if self.damaged or (self._keeper is not None and self._keeper.core.failed):
+        if self.damaged or self._closing is not None:
+            return
+        if self._keeper is not None and self._keeper.core.failed:
             return
         for part in parts(reset, generation, instances):
             if self._keeper is None:
@@ -231,8 +233,8 @@
         if keeper is None:
             return
         with suppress(StoreError):  # that writing has stopped was told when it did
-            for part in self._lists:
-                keeper.append(part.pack(), Durability.SOON)
+            while self._lists:
+                keeper.append(self._lists.popleft().pack(), Durability.SOON)
                 await asyncio.sleep(0)
             now = self._clock()
             keeper.append(Learned(now, self._learner.remember(0, PIECE)).pack(), Durability.SOON)
