Read a log's frames by one piece of code, and migrate past a log without a head

Recovery and repair each had a loop over a log's frames; they share one now, the stricter. The lab's and the node's copies of remembered servers are made by `replace`; a constant and a table that nothing read are gone.

Found on the way: a directory of the format before whose last log never got its head was refused, since that log was to be removed twice. A test shows it.

--- a/fawngw/lab/memory.py
+++ b/fawngw/lab/memory.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 from typing import cast
 
 from fawngw.decide import Balancer
-from fawngw.interface import Remembered, ServerMemory
+from fawngw.interface import Remembered
 from fawngw.lab.nodes import SimNode
 from fawngw.lab.platform import Platform
 from fawngw.node.kept import Kept, Learned, Limit
@@ -29,7 +30,6 @@
         self._platform, self._variant = platform, variant
         self._rng = Random(f"memory {seed}")
         self._kept: dict[str, Kept] = {}
-        self._nodes: dict[str, SimNode] = {node.name: node for node in platform.nodes[0]}
         platform.engine.after(EVERY_MS, self._write)
         platform.on_new_node = self._born
 
@@ -50,25 +50,14 @@
 
     def _changed(self, told: Remembered) -> Remembered:
         if self._variant == "+state-old":
-            rows = tuple(_aged(m, HOUR_MS) for m in told.servers)
+            rows = tuple(replace(m, age_ms=m.age_ms + HOUR_MS) for m in told.servers)
             return Remembered(rows, told.limit_each, told.limit_age_ms + HOUR_MS)
         if self._variant == "+state":
             return told
         others = list(told.servers)
         self._rng.shuffle(others)
         rows = tuple(
-            ServerMemory(m.server, m.started_ms, o.ratio, o.average_ms, self._rng.random() < 0.3, m.age_ms)
+            replace(m, ratio=o.ratio, average_ms=o.average_ms, ejected=self._rng.random() < 0.3)
             for m, o in zip(told.servers, others, strict=True)
         )
         return Remembered(rows, told.limit_each * self._rng.choice(WRONG_LIMITS), told.limit_age_ms)
-
-
-def _aged(memory: ServerMemory, by_ms: float) -> ServerMemory:
-    return ServerMemory(
-        memory.server,
-        memory.started_ms,
-        memory.ratio,
-        memory.average_ms,
-        memory.ejected,
-        memory.age_ms + by_ms,
-    )
--- a/fawngw/node/kept.py
+++ b/fawngw/node/kept.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import msgpack
@@ -167,11 +167,7 @@
     def remembered(self, now: float) -> Remembered:
         """What the module is told: each fact with its age, and none that seems to come from the future."""
         latest = now + CLOCK_SLACK_MS
-        rows = [
-            ServerMemory(m.server, m.started_ms, m.ratio, m.average_ms, m.ejected, age_ms=max(0.0, now - at))
-            for at, m in self.servers.values()
-            if at <= latest
-        ]
+        rows = [replace(m, age_ms=max(0.0, now - at)) for at, m in self.servers.values() if at <= latest]
         each = self.limit.each if self.limit.at <= latest else 0.0
         return Remembered(tuple(rows), each, max(0.0, now - self.limit.at))
 
--- a/fawngw/store/format.py
+++ b/fawngw/store/format.py
@@ -30,7 +30,7 @@
 _FRAME_1 = struct.Struct("<2sBIQI")  # of format 1, which did not say what was synced
 _HEAD = struct.Struct("<8sH1s8sQI")
 _MAGIC = b"CROWPOST"
-HEAD_BYTES, FRAME_BYTES = _HEAD.size, _FRAME.size
+HEAD_BYTES = _HEAD.size
 LOG, SNAPSHOT = b"L", b"S"
 _NAME = re.compile(r"(log|snapshot)-([0-9]{20})\.([0-9]+)")
 
--- a/fawngw/store/recover.py
+++ b/fawngw/store/recover.py
@@ -199,25 +199,28 @@
     """The records of one file, up to a torn end."""
     version = found.format
     framer = Framer(check_head(name, data, LOG, identity, first, version), version)
+    records, at, sealed = log_records(framer, data, first)
+    if at < len(data):
+        _tear(found, framer, name, data, at, first + len(records), last_file)
+    if not last_file and not sealed and version == FORMAT:
+        raise DamagedError(name, at, "it ends without its seal, though another follows")
+    found.tail_bytes = at
+    return records
+
+
+def log_records(framer: Framer, data: bytes, first: int) -> tuple[list[Record], int, bool]:
+    """The records of a log up to the first that is not whole, where that is, and whether a seal was last."""
     records: list[Record] = []
     at, sealed = HEAD_BYTES, False
-    while at < len(data):
-        frame = framer.at(data, at)
+    while (frame := framer.at(data, at)) is not None:
         expected = first + len(records)
-        good = frame is not None and frame.kind is FrameKind.RECORD and frame.sequence == expected
-        if frame is not None and frame.kind is FrameKind.SEAL and frame.sequence == expected - 1:
-            good = sealed = True
-        if frame is None or not good:
-            _tear(found, framer, name, data, at, expected, last_file)
-            break
-        if frame.kind is FrameKind.RECORD:
+        if frame.kind is FrameKind.RECORD and frame.sequence == expected:
             records.append(Record(frame.sequence, frame.payload))
-            sealed = False
+        elif frame.kind is not FrameKind.SEAL or frame.sequence != expected - 1:
+            break
+        sealed = frame.kind is FrameKind.SEAL
         at = frame.end
-    if not last_file and not sealed and version == FORMAT:
-        raise DamagedError(name, at, "it ends without its seal, though another follows")
-    found.tail_bytes = at
-    return records
+    return records, at, sealed
 
 
 def _tear(
@@ -240,8 +243,8 @@
 def _migrate(found: Found, own: Sequence[tuple[str, FileName]], identity: bytes) -> None:
     """Write what was read anew in the present format; the directory's own file is the moment of change."""
     found.notes.append(f"migrated from format {found.format} to {FORMAT}")
-    repairs: list[Operation] = [r for r in found.repairs if isinstance(r, Remove) and r.file.endswith(NEW)]
-    repairs += [Remove(name) for name in _stale(found)]
+    repairs = list(found.repairs)  # files that never got their name, and of a migration that was cut off
+    gone = {r.file for r in repairs if isinstance(r, Remove)}
     base = found.snapshot_sequence
     if found.snapshots:
         name = snapshot_name(base)
@@ -256,11 +259,6 @@
     repairs += [Create(log, data), Sync(log), SyncDirectory()]
     repairs += [Create(STORE + NEW, store_text(found.owner, identity)), Sync(STORE + NEW)]
     repairs += [Rename(STORE + NEW, STORE), SyncDirectory()]
-    repairs += [Remove(name) for name, _ in own]
+    repairs += [Remove(name) for name, _ in own if name not in gone]
     found.repairs, found.segments, found.tail_bytes = repairs, [(base + 1, log)], len(data)
     found.format = FORMAT
-
-
-def _stale(found: Found) -> list[str]:
-    """Files of the new format that a migration left which was cut off."""
-    return [r.file for r in found.repairs if isinstance(r, Remove) and not r.file.endswith(NEW)]
--- a/fawngw/store/repair.py
+++ b/fawngw/store/repair.py
@@ -33,7 +33,7 @@
     store_text,
 )
 from fawngw.store.model import FORMAT, DamagedError, Found, Record, StoreError
-from fawngw.store.recover import Read, recover
+from fawngw.store.recover import Read, log_records, recover
 
 
 @dataclass(slots=True)
@@ -116,18 +116,9 @@
 
 
 def _log_records(name: str, kind: FileName, data: bytes, identity: bytes) -> tuple[list[Record], int, bool]:
-    """The records of a log up to the first that is not whole, where that is, and whether a seal was last."""
-    framer = Framer(check_head(name, data, LOG, identity, kind.sequence, kind.format), kind.format)
-    records: list[Record] = []
-    at, sealed = HEAD_BYTES, False
-    while (frame := framer.at(data, at)) is not None:
-        sealed = frame.kind is FrameKind.SEAL
-        if not sealed and frame.sequence != kind.sequence + len(records):
-            break
-        if not sealed:
-            records.append(Record(frame.sequence, frame.payload))
-        at = frame.end
-    return records, at, sealed
+    """As `log_records`, of a file by its name; DamagedError where its head is not whole."""
+    first = check_head(name, data, LOG, identity, kind.sequence, kind.format)
+    return log_records(Framer(first, kind.format), data, kind.sequence)
 
 
 def salvage(names: Iterable[str], read: Read, owner: str = "") -> Salvage:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -265,6 +265,15 @@
     (path / STORE).write_bytes(store_text("n0", ID, 1))
 
 
+def test_a_log_of_the_format_before_that_never_got_its_head_is_removed_once(tmp_path: Path) -> None:
+    _format_1(tmp_path / "s", [b"a"])
+    (tmp_path / "s" / f"log-{2:020d}.1").write_bytes(b"")
+    disk = Disk(tmp_path / "s", lock=True)
+    open_disk(disk, "n0")
+    disk.close()
+    assert payloads(look(tmp_path / "s")) == [b"a"] and not list((tmp_path / "s").glob("*.1"))
+
+
 @pytest.mark.parametrize("snapshot", [None, [b"state"]])
 def test_the_format_before_is_migrated(tmp_path: Path, snapshot: list[bytes] | None) -> None:
     _format_1(tmp_path / "s", [b"a", b"b"], snapshot)
