Ask again whether a call may be sent once its dial or probe has ended

Seen by reading, and by a test for each: a call that waits for a new connection, or for a probe on an idle one, was written when that ended whatever had come between. A dial may take as long as the settings allow, so its server could have drained or started anew (rule 3, and the cold budget of a new process), the window for a repeat could have closed (rule 2), its caller could have left or its answer could be out where the settings forbid cancelling. Only a probe looked at the list, and only a call that had ended was dropped; what ends a call is Cancel, which the module sends only where it may cancel.

To blame: `_connect` in node/servers.py, which carried the call without a look, and `Send`, which did not say how long it holds. Ruled out: drains during a probe (looked at already) and callers that leave where cancelling is allowed (the call ends).

One place now hands a call to a connection that has come up, and asks the peer and the node; the module's `Send` says by when a repeat must have been written.

--- a/fawngw/decide/balancer.py
+++ b/fawngw/decide/balancer.py
@@ -280,6 +280,7 @@
         ):
             return False
         self._leave_queue(request)
+        send = api.Send(request.id, server.entry.server, 0.0, request.window_end_ms() - self.settings.tick_ms)
         key = (request.id, len(request.attempts))
         attempt = Attempt(server, server.entry, self._now, request.units)
         request.attempts.append(attempt)
@@ -291,7 +292,7 @@
         server.tokens -= request.units
         self._fleet.sent.add(request.units, self._now)
         self._watch(request)
-        self._actions.append(api.Send(request.id, server.entry.server))
+        self._actions.append(send)
         return True
 
     # From `_out` to `_back` an attempt is a call that waits at its server.
--- a/fawngw/decide/placing.py
+++ b/fawngw/decide/placing.py
@@ -34,12 +34,11 @@
 
     def may_go_on(self, request: Request) -> bool:
         """Rule 2 but for its groups: whether a further attempt may be made at all."""
-        settings, first, kind = self.fleet.settings, request.risky(), request.kind
+        settings, first = self.fleet.settings, request.risky()
         if request.spent or (first is not None and request.out and not settings.may_duplicate):
             return False
-        if first is None or kind.effect is Effect.SAFE:
-            return True
-        return kind.effect is Effect.KEYED and self.fleet.now - first.sent < kind.window_ms - settings.tick_ms
+        unsafe = first is not None and request.kind.effect is Effect.UNSAFE
+        return not unsafe and self.fleet.now < request.window_end_ms() - settings.tick_ms
 
     def bound(self, request: Request) -> tuple[RepeatGroup, int] | None:
         """The zone or cell that a further attempt must stay in; None: any server will do, or none at all."""
--- a/fawngw/interface.py
+++ b/fawngw/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -318,11 +319,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start the request's next attempt.  timeout_ms 0: wait until the client gives up."""
+    """Start the request's next attempt.  timeout_ms 0: wait until the client gives up.
+
+    before_ms: one whose request has not been written by then must not be sent, and ends as moot.
+    """
 
     request: RequestId
     server: ServerId
     timeout_ms: float = 0.0
+    before_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -463,6 +463,11 @@
             wait = seconds if upload is None else pending.budget / 1000.0
             return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, wait, message.body)
 
+        def may_write() -> bool:
+            """A repeat has its window; and nobody may have it any more, cancelled or not."""
+            wanted = self._requests.get(request) is pending and pending.started is None
+            return wanted and self._clock.now() < action.before_ms
+
         def written() -> None:
             nonlocal sent
             self._metrics.tried()
@@ -498,6 +503,7 @@
             on_written=written,
             begin=begin,
             upload=upload,
+            may_write=may_write,
         )
         self._calls[request, number] = call
 
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -27,6 +27,7 @@
 HOLD_S = 0.25  # an answer of unknown length is held for so long, or to a full hold, before it is passed on
 TRUST_S = 10.0  # without a new sign of it, trust in idle connections doubles in this time
 
+MayWrite = Callable[[], bool]
 Done = Callable[[Outcome, Message | None], None]
 Render = Callable[[float], bytes]
 Begin = Callable[[Message, Callable[[bool], None]], Sink | None]
@@ -43,6 +44,7 @@
         "connection",
         "deadline",
         "ended",
+        "may_write",
         "on_written",
         "path",
         "render",
@@ -60,9 +62,11 @@
         on_written: Callable[[], None] | None = None,
         begin: Begin | None = None,
         upload: Upload | None = None,
+        may_write: MayWrite = lambda: True,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self.render = render
+        self.may_write = may_write  # asked once a connection is there: a dial or a probe takes its time
         self.connection: Connection | None = None
         self.written = False  # its last byte may have reached the server
         self.started = False  # its answer is long and has begun
@@ -457,13 +461,18 @@
         on_written: Callable[[], None] | None = None,
         begin: Begin | None = None,
         upload: Upload | None = None,
+        may_write: MayWrite = lambda: True,
     ) -> Call:
         """Start one call; its outcome comes by done, once, at the earliest after this returns.
 
+        may_write is asked in the moment before the write: if it says no, the call ends as moot.
+
         One that is not repeatable goes on an idle connection that may have been dropped only if a probe on
         it is answered first: that costs the server less than the handshake of a new one.
         """
-        call = Call(render, timeout_s, done, on_written=on_written, begin=begin, upload=upload)
+        call = Call(
+            render, timeout_s, done, on_written=on_written, begin=begin, upload=upload, may_write=may_write
+        )
         peer = self._peers.get(server)
         if peer is None:
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
@@ -489,15 +498,13 @@
         peer = connection.peer
 
         def checked(_: Outcome, answer: Message | None) -> None:
-            if call.ended:
-                return
             if answer is not None and connection in peer.idle:
                 peer.idle.remove(connection)
-                connection.carry(call)
-            elif peer.current:
-                self._open_for(peer, call)
-            else:  # drained or gone meanwhile
+                self._hand(call, connection)
+            elif not peer.current:
                 call.end(Outcome.CONNECT_FAILED)
+            elif not call.ended:
+                self._open_for(peer, call)
 
         connection.carry(Call(lambda _: probe, self._connect_s, checked))
 
@@ -519,12 +526,24 @@
         except (OSError, TimeoutError):
             call.end(Outcome.CONNECT_FAILED)
             return
-        if call.ended:
+        self._hand(call, connection)
+
+    def _hand(self, call: Call, connection: Connection) -> None:
+        """Have a connection that has just come up, or proved to stand, carry the call, if it still may.
+
+        What allowed the call when it was decided may be over by now: its server drains or has started anew,
+        its request has its answer or nobody waiting, or the time in which it might be repeated has passed.
+        """
+        if not connection.peer.current:
+            connection.abandon()
+            call.end(Outcome.CONNECT_FAILED)
+        elif not connection.usable():
+            call.end(Outcome.CONNECT_FAILED)
+        elif call.ended or not call.may_write():
             self.rest(connection)
-        elif connection.usable():
-            connection.carry(call)
+            call.end(Outcome.MOOT)
         else:
-            call.end(Outcome.CONNECT_FAILED)
+            connection.carry(call)
 
     # Connections.
 
--- a/fawngw/records.py
+++ b/fawngw/records.py
@@ -125,5 +125,12 @@
         """The first attempt that may have run."""
         return next((a for a in self.attempts if a.may_have_run()), None)
 
+    def window_end_ms(self) -> float:
+        """When the window for a further attempt is over; infinite where there is none, or none has begun."""
+        first = self.risky()
+        if first is None or self.kind.effect is not api.Effect.KEYED:
+            return math.inf
+        return first.sent + self.kind.window_ms
+
     def tried(self, server: Server) -> bool:
         return any(a.server is server for a in self.attempts)
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,213 @@
+"""What comes between two lines: requests, answers, signals, timers and ends of streams that cross.
+
+Each crossing is forced by hand-made peers and by dials that wait to be let through: docs/crossings.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from fawngw.interface import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    Event,
+    Outcome,
+    RequestGone,
+    Send,
+)
+from tests.stubs import (
+    PATIENCE_S,
+    StubServer,
+    World,
+    listing,
+    reply,
+    request,
+    row,
+    run,
+    settings,
+    tell,
+    world,
+)
+
+LONG_DIAL_MS = 1000.0 * PATIENCE_S
+
+
+def limits(**changes: Any) -> dict[str, Any]:
+    """What the settings allow, with dials that may take long."""
+    return {**settings()["policyLimits"], "connectTimeoutMs": LONG_DIAL_MS, **changes}
+
+
+class HeldDials:
+    """The loop of a node's server side, with dials that go on only once released."""
+
+    def __init__(self, w: World) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.waiting = asyncio.Semaphore(0)  # counts the dials that have begun
+        self.release = asyncio.Event()
+        w.node._servers._loop = self  # type: ignore[assignment]
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+    async def create_connection(self, *args: Any) -> Any:
+        self.waiting.release()
+        await self.release.wait()
+        return await self._loop.create_connection(*args)
+
+    async def begun(self) -> None:
+        await asyncio.wait_for(self.waiting.acquire(), PATIENCE_S)
+
+
+class Told:
+    """The events that a node hands its module, and what a stand-in for the module decides."""
+
+    def __init__(self, w: World, decide: Callable[[Event, float], list[Action]] | None = None) -> None:
+        self.events: list[Event] = []
+        handle = decide or w.node._balancer.handle
+
+        def recording(event: Event, now: float) -> list[Action]:
+            self.events.append(event)
+            return handle(event, now)
+
+        w.node._balancer.handle = recording  # type: ignore[method-assign]
+
+    async def first(self, kind: type[Event]) -> Any:
+        """The first event of this kind, once it has come."""
+
+        async def wait() -> Event:
+            while True:
+                for event in self.events:
+                    if isinstance(event, kind):
+                        return event
+                await asyncio.sleep(0)
+
+        return await asyncio.wait_for(wait(), PATIENCE_S)
+
+
+# ---------------------------------------------------------------- dials
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_a_server_that_drains_or_restarts_during_a_dial_is_sent_nothing(restarted: bool) -> None:
+    """Guards against a send as long after the drain as a dial may take."""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(row("a", server.address), policyLimits=limits()) as w,
+        ):
+            dials, told = HeldDials(w), Told(w)
+            caller = await w.caller()
+            caller.writer.write(request("book"))
+            await dials.begun()
+            now = (
+                row("a", server.address, started=1000.0)
+                if restarted
+                else row("a", server.address, "DRAINING")
+            )
+            tell(await w.discovery.watch(), listing(2, now, reset=False))
+            while w.node._discovery._version != 2:
+                await asyncio.sleep(0)
+            dials.release.set()
+            ended: AttemptEnded = await told.first(AttemptEnded)
+            assert ended.outcome is Outcome.CONNECT_FAILED
+            if not restarted:
+                assert (await caller.answer()).status == 503
+                assert server.received == []
+
+    run(main())
+
+
+@pytest.mark.parametrize("cancel", [False, True])
+def test_a_request_whose_caller_leaves_during_a_dial_is_not_sent(cancel: bool) -> None:
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(row("a", server.address), policyLimits=limits(cancel=cancel)) as w,
+        ):
+            dials, told = HeldDials(w), Told(w)
+            caller = await w.caller()
+            caller.writer.write(request("look", target="/api/left"))
+            await dials.begun()
+            caller.close()
+            await told.first(RequestGone)
+            dials.release.set()
+            ended: AttemptEnded = await told.first(AttemptEnded)
+            assert ended.outcome in (Outcome.MOOT, Outcome.CANCELLED)
+            while w.node._servers._opening:
+                await asyncio.sleep(0)
+            assert (await (await w.caller()).ask("look", target="/api/next")).status == 200
+            assert [got.target for got in server.received] == ["/api/next"]
+            assert server.opened == 1, "the connection that came up was not kept"
+
+    run(main())
+
+
+def test_a_request_that_has_its_answer_is_not_sent_again_by_a_dial_that_ends_later() -> None:
+    """Where attempts may not be cancelled, a copy that waits for its dial is still no copy to be sent."""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK", b"first")]) as one,
+            StubServer([reply("200 OK", b"second")]) as two,
+            world(row("a", one.address), row("b", two.address), policyLimits=limits(cancel=False)) as w,
+        ):
+
+            def decide(event: Event, now: float) -> list[Action]:
+                both = (
+                    [Send(event.request, b"a"), Send(event.request, b"b")]
+                    if isinstance(event, Arrival)
+                    else []
+                )
+                return list(both)
+
+            # A connection to the first is there; the second has to be dialled.
+            assert w.node._servers.any_listed()
+            caller = await w.caller()
+            while not one.received:
+                assert (await caller.ask("look")).status == 200
+            before = len(two.received)
+            w.node._servers.close_idle(b"b")
+            dials, told = HeldDials(w), Told(w, decide)
+            assert (await caller.ask("look")).body == b"first"
+            await dials.begun()
+            dials.release.set()
+            while sum(isinstance(event, AttemptEnded) for event in told.events) < 2:
+                await asyncio.sleep(0)
+            outcomes = {event.outcome for event in told.events if isinstance(event, AttemptEnded)}
+            assert outcomes == {Outcome.OK, Outcome.MOOT}
+            assert len(two.received) == before
+
+    run(main())
+
+
+def test_a_repeat_whose_window_closes_during_its_dial_is_not_sent() -> None:
+    """Rule 2 counts the write, and the module decides a whole dial before it."""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(row("a", server.address), policyLimits=limits()) as w,
+        ):
+
+            def decide(event: Event, now: float) -> list[Action]:
+                if isinstance(event, Arrival):
+                    return [Send(event.request, b"a", before_ms=now + 2000.0)]
+                return []
+
+            dials, told = HeldDials(w), Told(w, decide)
+            caller = await w.caller()
+            caller.writer.write(request("move"))
+            await dials.begun()
+            w.node._clock._base += 2.0
+            dials.release.set()
+            ended: AttemptEnded = await told.first(AttemptEnded)
+            assert ended.outcome is Outcome.MOOT
+            assert server.received == []
+
+    run(main())
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -615,3 +615,18 @@
         if arm.entry.server not in slow:
             arm.rest_until = play.now + 10_000.0
     assert play.owed[play.arrive(hint=50.0)].attempts[0].entry.server in slow
+
+
+def test_a_repeat_says_by_when_it_must_have_been_written() -> None:
+    """Rule 2's window runs from the first attempt that may have run; a dial may end after it."""
+    keyed = RequestClass("k", 1000, 9000, effect=Effect.KEYED, window_ms=2000.0)
+    play = make(SAFE, keyed)
+    for kind in (0, 1):
+        request = play.arrive(class_index=kind)
+        for number, how in enumerate((Outcome.CONNECT_FAILED, Outcome.RESET)):
+            play.step(100)
+            play.end(request, number, how)
+        began = play.owed[request].attempts[1].sent  # the one before never ran
+        expected = [math.inf, math.inf, began + 2000.0 - 5.0 if kind else math.inf]
+        sends = [a for a in play.log if isinstance(a, Send) and a.request == request]
+        assert [send.before_ms for send in sends] == expected
