Notice that a caller has left whatever waits on its connection

Seen by reading, then by tests: a connection with two open requests, a choked one, and one whose long body waits for a server were read no further, so that their caller's end lay unread behind what it had sent. What waited was sent on whenever its turn came.

To blame: `_pace` in node/callers.py, which stopped reading, and `_take`, which handed every request on. Ruled out: a watch on the socket alone (the requests of one piece would still all wait in the module), and reading a waiting long body on (it would take memory that no budget counts).

The time that a request has waited behind others is taken off its own, which it was not; nothing follows an answer that closes. What cannot be seen: an end that lies behind more than the system's buffers hold.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import logging
+import select
 import socket
 import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import blake2b
+from itertools import islice
 from typing import cast
 
 from fawngw.interface import Effect, Settings
@@ -20,6 +22,7 @@
     DEADLINE,
     EXPECT,
     IDEMPOTENCY_KEY,
+    MAX_BODY,
     REQUEST_ID,
     RETRY,
     TENANT,
@@ -37,7 +40,8 @@
 
 log = logging.getLogger(__name__)
 
-MOST_PIPELINED = 2  # requests that a connection may have open; beyond that it is read no further
+MOST_PIPELINED = 2  # requests of one connection that are worked on at once; those behind them wait here
+MOST_AHEAD = 32  # requests of one connection in all; what comes behind the last of them is not taken
 LONGEST_DEADLINE_S = 3600.0
 HINT_MOST_US = 1e9
 FIRST_S = 2.0  # after connecting, for the first byte: silent peers hold descriptors
@@ -78,10 +82,12 @@
         "_connection",
         "_funded",
         "_pace",
+        "came_at",
         "class_index",
         "close",
         "complete",
         "gone",
+        "message",
         "on_gone",
         "output",
         "size",
@@ -93,6 +99,8 @@
         self._connection = connection
         self.close = close
         self.version = version
+        self.message: Message | None = None  # a request that waits behind others of its connection
+        self.came_at = connection.callers.now()
         self.gone = False
         self.class_index: int | None = None  # of a valid request
         self.upload: Upload | None = None
@@ -115,6 +123,7 @@
         if self.begun:
             self.break_off()
             return
+        self.message = None
         self._choose_close()
         self._count(status)
         self.output = [answer(status, body, extra, close=self.close)]
@@ -207,6 +216,7 @@
         self._heard_at = 0.0  # bytes last came, or could come again
         self._head_at = 0.0  # the head of the present request was whole
         self._linger_until = 0.0
+        self._routing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
@@ -241,7 +251,7 @@
         if not self._reader.within:
             return not self.used and now - self.opened_at > FIRST_S
         if self._exchanges and self._upload is None:
-            return False  # the part of a request that came behind another is not read on
+            return False  # the part of a request that came behind another may wait as long as that
         if not self._reader.in_body:
             return now - self.since > STALLED_S if self.used else now - self.opened_at > HEAD_S
         if self._upload_waits:
@@ -256,6 +266,14 @@
             or self._reader.body_size < SLOWEST * late
         )
 
+    def left_unseen(self) -> bool:
+        """Whether the caller has left while its connection is not read: its end lies behind what was sent."""
+        if self._transport is None or self._transport.is_reading() or self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def give_up(self) -> None:
         """Waiting is over: an error for a part of a request, else just the end."""
         if self._reader.within or self._choked:  # of silent peers there may be hundreds a second
@@ -349,20 +367,51 @@
     def _take(self, message: Message) -> None:
         if self._deaf or self._spoilt:
             return
+        if self._exchanges and (self._exchanges[-1].close or self._flooded(message)):
+            # Nothing follows an answer that closes: its caller sends anew what came behind it.  And a flood
+            # is read away, so that its sender's leaving shows.
+            self._exchanges[-1].close = self._spoilt = True
+            self._upload, self._upload_waits = None, False
+            self._pace()
+            return
         self.used = True
         exchange = Exchange(self, not message.keep_alive, message.version)
         exchange.upload = message.upload
+        exchange.message = message
         self._exchanges.append(exchange)
-        self._pace()
-        try:
-            self.callers.route(message, exchange)
-        except MessageError as error:
-            log.info("caller sent a request that is not taken: %s", error)
-            exchange.answer(error.status)
-        except Exception:
-            # A fault in one request must cost that request alone, and still be answered.
-            log.exception("fault in a request")
-            exchange.answer(500)
+        self._route()
+
+    def _flooded(self, message: Message) -> bool:
+        """Whether more requests, or more of their bodies, would wait here than one caller may have."""
+        waiting = [exchange.message for exchange in self._exchanges if exchange.message is not None]
+        size = sum(len(ahead.body) for ahead in waiting)
+        # What a long body may hold is counted only once it is worked on.
+        most = MOST_AHEAD if message.upload is None else MOST_PIPELINED
+        return len(self._exchanges) >= most or (size > 0 and size + len(message.body) > MAX_BODY)
+
+    def _route(self) -> None:
+        """Have work begin on the first requests, as far as there is room for their answers."""
+        if self._routing:
+            return  # an answer at once frees a place while this goes on
+        self._routing = True
+        while not self._choked and (exchange := self._next()) is not None:
+            message, exchange.message = exchange.message, None
+            assert message is not None
+            try:
+                self.callers.route(message, exchange)
+            except MessageError as error:
+                log.info("caller sent a request that is not taken: %s", error)
+                exchange.answer(error.status)
+            except Exception:
+                # A fault in one request must cost that request alone, and still be answered.
+                log.exception("fault in a request")
+                exchange.answer(500)
+        self._routing = False
+
+    def _next(self) -> Exchange | None:
+        """The first request that waits behind others, once few enough are worked on."""
+        first = list(islice(self._exchanges, MOST_PIPELINED))
+        return next((exchange for exchange in first if exchange.message is not None), None)
 
     def _answer_early(self, status: int) -> None:
         """Answer what never became a request, then close."""
@@ -390,6 +439,7 @@
         self._give_back()
         self._say_continue()
         self._pace()
+        self._route()
 
     def _give_back(self) -> None:
         """Long answers count until little of them is left to go out."""
@@ -459,14 +509,13 @@
         if self._exchanges:
             self._exchanges[0].keep_pace()
         self._give_back()
-        self._pace()
+        self._route()
 
     def _pace(self) -> None:
-        """Read only as long as answers have somewhere to go: bounds what one caller can make us hold."""
+        """Read on but while a long body waits: only what is read shows that a caller has left."""
         if self._transport is None or self._transport.is_closing():
             return
-        full = self._choked or self._upload_waits or len(self._exchanges) >= MOST_PIPELINED
-        if full and not self._deaf:
+        if self._upload_waits and not self._deaf and not self._spoilt:
             self._transport.pause_reading()
         elif not self._transport.is_reading():
             self._transport.resume_reading()
@@ -583,6 +632,9 @@
             self._refused = 0
         for connection in [c for c in self._open if c.stalled(now)]:
             connection.give_up()
+        for connection in [c for c in self._open if c.left_unseen()]:
+            log.info("a caller has left while its long body waited")
+            connection.drop()
 
     def close_idle(self, least_s: float) -> None:
         """Close the connections that have been idle for this long."""
@@ -625,7 +677,9 @@
                 raise MessageError(400, "method")
             exchange.answer(200 if self._ready() else 503)
         elif _is_api(path):
-            ask = self._ask(message, path)
+            # The time of a long body runs from its last byte.
+            waited_s = 0.0 if message.upload is not None else self.now() - exchange.came_at
+            ask = self._ask(message, path, waited_s)
             exchange.class_index = ask.class_index
             size = len(message.body) if message.upload is None else LONG_BYTES
             if self.crowded() or not self.budget.take(size):
@@ -644,7 +698,7 @@
         if _is_api(path):
             self._ask(message, path)
 
-    def _ask(self, message: Message, path: bytes) -> Ask:
+    def _ask(self, message: Message, path: bytes, waited_s: float = 0.0) -> Ask:
         headers = message.headers
         required = [REQUEST_ID, CLASS, DEADLINE, *([TENANT] if self._tenants else [])]
         for name in required:
@@ -662,7 +716,7 @@
             class_index=class_index,
             tenant=tenant,
             key=int.from_bytes(blake2b(item, digest_size=8).digest(), "big") if item else 0,
-            budget_ms=1000.0 * _number(headers[DEADLINE], "deadline", LONGEST_DEADLINE_S),
+            budget_ms=1000.0 * (_number(headers[DEADLINE], "deadline", LONGEST_DEADLINE_S) - waited_s),
             cost_hint_ms=_hint_ms(hint),
             is_repeat=headers.get(RETRY) == b"1",
         )
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,16 +20,20 @@
     RequestGone,
     Send,
 )
+from fawngw.node.callers import MOST_AHEAD, MOST_PIPELINED
+from fawngw.node.http import MAX_BODY
 from tests.stubs import (
     PATIENCE_S,
     StubServer,
     World,
+    held,
     listing,
     reply,
     request,
     row,
     run,
     settings,
+    silent,
     tell,
     world,
 )
@@ -211,3 +215,125 @@
             assert server.received == []
 
     run(main())
+
+
+# ---------------------------------------------------------------- callers that leave unseen
+
+
+@pytest.mark.parametrize("rows", [2, MOST_AHEAD, 500])
+def test_a_caller_that_sends_many_requests_at_once_and_leaves_is_seen_to_leave(rows: int) -> None:
+    """Guards against requests sent on long after, since a connection with two of them was read no further."""
+
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            told = Told(w)
+            caller = await w.caller()
+            caller.writer.write(request("look"))
+            await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            caller.writer.write(request("look") * rows)
+            while len(w.node._requests) < MOST_PIPELINED:
+                await asyncio.sleep(0)
+            caller.close()
+            while w.node._requests:
+                await asyncio.sleep(0)
+            taken = sum(isinstance(event, Arrival) for event in told.events)
+            assert taken == MOST_PIPELINED, "what waits behind others was handed on"
+            server.release.set()
+
+    run(main())
+
+
+def test_what_is_behind_a_flood_of_requests_is_not_taken_and_the_connection_ends() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            caller.writer.write(request("look") * (3 * MOST_AHEAD))
+            answers = [(await caller.answer()).status for _ in range(MOST_AHEAD)]
+            assert answers == [200] * MOST_AHEAD
+            assert await caller.ended()
+            assert len(server.received) == MOST_AHEAD
+
+    run(main())
+
+
+def test_bodies_that_wait_behind_others_are_bounded() -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            caller.writer.write(request("look") * MOST_PIPELINED)
+            caller.writer.write(request("book", body=b"x" * (MAX_BODY // 2)) * 8)
+            while not w.node._callers._open:
+                await asyncio.sleep(0)
+            (connection,) = w.node._callers._open
+            while not connection._spoilt:
+                await asyncio.sleep(0)
+            waiting = [e.message for e in connection._exchanges if e.message is not None]
+            assert 0 < sum(len(message.body) for message in waiting) <= MAX_BODY
+            caller.close()
+            server.release.set()
+
+    run(main())
+
+
+def test_a_long_body_that_would_wait_behind_others_is_not_taken_and_the_connection_ends() -> None:
+    """What it holds is counted only once it is worked on; uncounted, a few hundred would fill the memory."""
+
+    async def main() -> None:
+        async with StubServer([held(reply("200 OK"))]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            long = request("book", body=b"x" * (4 * MAX_BODY))
+            caller.writer.write(request("look") * MOST_PIPELINED + long)
+            while not w.node._callers._open:
+                await asyncio.sleep(0)
+            (connection,) = w.node._callers._open
+            while not connection._spoilt:
+                await asyncio.sleep(0)
+            server.release.set()
+            assert [(await caller.answer()).status for _ in range(MOST_PIPELINED)] == [200, 200]
+            assert await caller.ended()
+            assert len(server.received) == MOST_PIPELINED
+
+    run(main())
+
+
+def test_time_spent_behind_another_request_counts() -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            told = Told(w)
+            caller = await w.caller()
+            caller.writer.write(request("look", deadline="0.4") * (MOST_PIPELINED + 1))
+            answers = [(await caller.answer()).status for _ in range(MOST_PIPELINED + 1)]
+            assert set(answers) == {503}
+            arrivals = [event for event in told.events if isinstance(event, Arrival)]
+            assert arrivals[0].budget_ms > 300.0
+            assert arrivals[-1].budget_ms < 100.0
+            server.release.set()
+
+    run(main())
+
+
+@pytest.mark.parametrize("ends", ["abort", "close"])
+def test_a_caller_that_leaves_while_its_long_body_waits_is_seen_to_leave(ends: str) -> None:
+    """Its connection is not read then: what it has sent may fill memory."""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(row("a", server.address), policyLimits=limits()) as w,
+        ):
+            dials, told = HeldDials(w), Told(w)
+            caller = await w.caller()
+            whole = request("book", body=b"x" * (8 * MAX_BODY))
+            caller.writer.write(whole[: 2 * MAX_BODY])
+            await dials.begun()
+            if ends == "abort":
+                caller.close()
+            else:
+                caller.writer.close()
+            await told.first(RequestGone)
+            dials.release.set()
+            while w.node._servers._opening:
+                await asyncio.sleep(0)
+            assert server.received == []
+
+    run(main())
