Close a connection on a request that no node takes, and read nothing behind it

To blame: `_take` in node/callers.py, which answered 400 and went on with the next.

Ruled out: logging alone (a third of the cost). The connection now ends with the first such answer, and the reader stops within the piece. The test counts the requests looked at.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -372,6 +372,7 @@
             # is read away, so that its sender's leaving shows.
             self._exchanges[-1].close = self._spoilt = True
             self._upload, self._upload_waits = None, False
+            self._reader.stop()
             self._pace()
             return
         self.used = True
@@ -400,7 +401,9 @@
             try:
                 self.callers.route(message, exchange)
             except MessageError as error:
+                # Who sends one such may send thousands in one piece, each with its answer.
                 log.info("caller sent a request that is not taken: %s", error)
+                exchange.close = True
                 exchange.answer(error.status)
             except Exception:
                 # A fault in one request must cost that request alone, and still be answered.
@@ -451,6 +454,7 @@
         """Close after the last answer, once the caller has had the time to read it."""
         assert self._transport is not None
         self._deaf = True
+        self._reader.stop()
         self._leave()
         self._give_back()
         self._pace()
--- a/fawngw/node/http.py
+++ b/fawngw/node/http.py
@@ -107,6 +107,7 @@
         "_message",
         "_parser",
         "_receiver",
+        "_stopped",
         "_streaming",
         "body_size",
     )
@@ -116,6 +117,7 @@
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
         self._parser = httptools.HttpRequestParser(self) if requests else httptools.HttpResponseParser(self)
         self._failure: MessageError | None = None
+        self._stopped = False
         self._head_left = MAX_HEAD
         self._head_size = 0
         self._in_body = False
@@ -150,6 +152,8 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._stopped:
+                return
             if self._failure is None:
                 raise MessageError(400, f"malformed message: {error}") from None
         if self._failure is not None:
@@ -157,6 +161,10 @@
         if not self._in_body and self._head_left < 0:
             raise MessageError(400, "the head is too large")
 
+    def stop(self) -> None:
+        """Read no further message, not even of the bytes at hand: a flood may hold thousands."""
+        self._stopped = True
+
     def finish(self) -> None:
         """The sender has ended: an answer without a length is whole now, as HTTP has it."""
         message = self._message
@@ -176,6 +184,8 @@
     # What httptools calls.
 
     def on_message_begin(self) -> None:
+        if self._stopped:
+            raise MessageError(400, "no further message is read")  # ends the parser; `feed` knows why
         self._message = Message()
         self._body.clear()
         self.body_size = 0
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -256,6 +256,22 @@
     run(main())
 
 
+def test_of_a_flood_of_wrong_requests_only_the_first_is_looked_at(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a tenth of a second of a node's core for each piece that a bad caller sends."""
+
+    async def main() -> None:
+        async with world() as w:
+            caller = await w.caller()
+            caller.writer.write(request("nosuch") * 600)
+            answer = await caller.answer()
+            assert (answer.status, answer.headers["connection"]) == (400, "close")
+            assert await caller.ended()
+
+    with caplog.at_level("INFO"):
+        run(main())
+    assert caplog.text.count("is not taken") == 1
+
+
 def test_bodies_that_wait_behind_others_are_bounded() -> None:
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
