Let a connection to a server rest 10 ms between an answer and the next call

To blame: `call` in node/servers.py, which takes the connection used last, at once, and `_check`, which hands a call on in the moment of a probe's answer. Ruled out: telling such an answer by its bytes (none of the heads seen names its request) and a new connection each time (a handshake costs a server a millisecond of work).

A call now takes the connection used last of those that have rested; where none has, it waits for the first to have, at most 10 ms, and what comes meanwhile spoils the connection, not the call. Both tests fail without it.

--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -25,6 +25,7 @@
 AT_ONCE_S = 0.05  # a break this soon follows from what came before it: no work and no idle time is so short
 STUCK_S = 30.0  # without a byte of a long body, or room for one: a slow peer may pause for seconds
 HOLD_S = 0.25  # an answer of unknown length is held for so long, or to a full hold, before it is passed on
+REST_S = 0.01  # between an answer and the next call: what some servers send behind an answer comes sooner
 TRUST_S = 10.0  # without a new sign of it, trust in idle connections doubles in this time
 
 MayWrite = Callable[[], bool]
@@ -175,6 +176,7 @@
         self._drained: Callable[[], None] | None = None  # once all that was written has gone
         self._hold: asyncio.TimerHandle | None = None
         self._moved_at = 0.0  # a piece of a long body last went on
+        self.on_lost: Callable[[], None] | None = None  # for whoever has it rest
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
@@ -345,6 +347,8 @@
             self._servers.keep_alive.lost(self._idled_s, now)
         self._servers.closed(self)
         self.break_off()
+        if self.on_lost is not None:
+            self.on_lost()
 
     def break_off(self) -> None:
         call = self._call
@@ -401,6 +405,10 @@
     idle: list[Connection] = field(default_factory=list)
     current: bool = True  # False once drained, gone or restarted: its connections are not kept
 
+    def most_recent(self, before: float) -> Connection:
+        """The idle connection used last of those used before this, or the first that will have been."""
+        return next((c for c in reversed(self.idle) if c.idle_since <= before), self.idle[0])
+
 
 class Servers:
     """All servers that the list has named, and every open connection to them."""
@@ -479,16 +487,20 @@
             return call
         now = self._loop.time()
         while peer.idle:
-            doubtful = not repeatable and now - peer.idle[-1].idle_since > self.keep_alive.trusted_s(now)
+            connection = peer.most_recent(now - REST_S)
+            idle_s = now - connection.idle_since
+            doubtful = not repeatable and idle_s > self.keep_alive.trusted_s(now)
             if doubtful and self._probe is None:
                 break
-            connection = peer.idle.pop()
+            peer.idle.remove(connection)
             if not connection.usable():
                 continue
             if doubtful and self._probe is not None:
                 self._check(connection, call, self._probe)
-            else:
+            elif idle_s >= REST_S:
                 connection.carry(call)
+            else:
+                self._carry_rested(connection, call)
             return call
         self._open_for(peer, call)
         return call
@@ -500,7 +512,7 @@
         def checked(_: Outcome, answer: Message | None) -> None:
             if answer is not None and connection in peer.idle:
                 peer.idle.remove(connection)
-                self._hand(call, connection)
+                self._carry_rested(connection, call)
             elif not peer.current:
                 call.end(Outcome.CONNECT_FAILED)
             elif not call.ended:
@@ -508,6 +520,28 @@
 
         connection.carry(Call(lambda _: probe, self._connect_s, checked))
 
+    def _carry_rested(self, connection: Connection, call: Call) -> None:
+        """Have the call carried once the connection has rested for a moment since its last answer.
+
+        A second answer, or whatever else a server sends unasked behind an answer, would be taken for the
+        answer to a call that goes out before it has come.  While nothing is asked it spoils the connection.
+        """
+        left = connection.idle_since + REST_S - self._loop.time()
+        if left <= 0.0:
+            self._hand(call, connection)
+            return
+
+        def go_on() -> None:
+            timer.cancel()
+            connection.on_lost = None
+            if connection.usable() or call.ended or not connection.peer.current:
+                self._hand(call, connection)
+            else:
+                self._open_for(connection.peer, call)
+
+        timer = self._loop.call_later(left, go_on)
+        connection.on_lost = go_on
+
     def _open_for(self, peer: Peer, call: Call) -> None:
         """Have the call carried by a new connection."""
         if not self._room():
@@ -571,6 +605,8 @@
     def close(self) -> None:
         """Leave nothing open."""
         self._sweeper.cancel()
+        for peer in self._peers.values():
+            peer.current = False
         for task in list(self._opening):
             task.cancel()
         for connection in list(self._open):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,6 +24,7 @@
 from fawngw.node.http import MAX_BODY
 from tests.stubs import (
     PATIENCE_S,
+    Received,
     StubServer,
     World,
     held,
@@ -217,6 +218,53 @@
     run(main())
 
 
+# ---------------------------------------------------------------- what follows an answer
+
+
+async def twice(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
+    """Answer, and answer again once told to, whatever has been asked meanwhile."""
+    await reply("200 OK", b"right")(server, received, writer)
+    await server.release.wait()
+    await reply("200 OK", b"stray")(server, received, writer)
+
+
+@pytest.mark.parametrize("probed", [False, True])
+def test_a_second_answer_that_comes_late_meets_no_other_request(
+    probed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the next call on that connection being answered by it, after a probe as well."""
+    monkeypatch.setattr("fawngw.node.servers.REST_S", PATIENCE_S)
+
+    async def main() -> None:
+        async with (
+            StubServer(
+                [reply("200 OK"), twice, reply("200 OK", b"own")]
+                if probed
+                else [twice, reply("200 OK", b"own")]
+            ) as server,
+            world(row("a", server.address)) as w,
+        ):
+            caller = await w.caller()
+            if probed:
+                assert (await caller.ask("look")).status == 200
+                for connection in w.node._servers._idle():
+                    connection.idle_since -= 2 * PATIENCE_S
+                w.node._servers.keep_alive.lost(0.0, asyncio.get_running_loop().time())
+                caller.writer.write(request("book"))
+                while len(server.received) < 2:
+                    await asyncio.sleep(0)
+            else:
+                assert (await caller.ask("look")).body == b"right"
+                caller.writer.write(request("book"))
+                while not w.node._requests:
+                    await asyncio.sleep(0)
+            server.release.set()
+            assert (await caller.answer()).body == b"own"
+            assert server.opened == 2
+
+    run(main())
+
+
 # ---------------------------------------------------------------- callers that leave unseen
 
 
