Read a list that comes indented over several lines, and take a trickle for silence

To blame: `_line` in node/discovery.py, which took each line for an object, so that an indented one ended the watch as a bad line, and every watch after it in the same way; and which took any line for a sign of life.

Lines are gathered until they make an object; only the first and those that end with a brace are looked at, so that a list of ten thousand servers costs one look more, not one a line. What belongs to no object ends the watch as before. Within a list only its end counts as a word.

--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -25,7 +25,7 @@
 # Pause before the agent is watched anew: doubled while it fails, and less by chance, as all lose it at once.
 REWATCH_S = 0.25
 REWATCH_MOST_S = 1.0  # beside a silence this still brings the news in time
-MAX_LINE = 4 * 1024 * 1024  # a list of some ten thousand servers
+MAX_LINE = 4 * 1024 * 1024  # a list of some ten thousand servers, over one line or several
 
 _LIFECYCLES = {
     "SERVING": Readiness.READY,
@@ -98,6 +98,40 @@
         return self._others.setdefault((sort, str(name)), len(names) + len(self._others))
 
 
+class _Objects:
+    """Lines in, whole objects out: an object may come indented, over several lines."""
+
+    def __init__(self) -> None:
+        self._lines: list[bytes] = []
+        self._size = 0
+
+    def within(self) -> bool:
+        """Whether an object has begun and is not whole."""
+        return bool(self._lines)
+
+    def take(self, line: bytes) -> Any:
+        """The object that ends with this line, None where none does; ValueError if none can.
+
+        Only the first line and those that may be the last are looked at, so that many cost no more than one.
+        """
+        self._lines.append(line)
+        self._size += len(line)
+        if self._size > MAX_LINE:
+            raise ValueError(f"a list of more than {MAX_LINE} bytes")
+        if len(self._lines) > 1 and not line.rstrip().endswith(b"}"):
+            return None
+        text = b"\n".join(self._lines).decode()
+        try:
+            whole = json.loads(text)
+        except json.JSONDecodeError as error:
+            if error.pos < len(text.rstrip()):
+                raise
+            return None
+        self._lines.clear()
+        self._size = 0
+        return whole
+
+
 class _Watch(asyncio.Protocol):
     """One watch on one connection: whole lines out, one call to ended at its end."""
 
@@ -107,6 +141,7 @@
         self._ended = ended
         self._parser = httptools.HttpResponseParser(self)
         self._rest = b""
+        self.objects = _Objects()
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -227,21 +262,28 @@
     def _line(self, watch: _Watch, line: bytes) -> None:
         if watch is not self._watch:
             return  # a late line of a watch that was given up
-        self._expect(SILENCE_S)
         if not line.strip():
-            self._failures = 0
+            if not watch.objects.within():
+                self._told()
             return
         try:
-            raw = json.loads(line)
+            raw = watch.objects.take(line)
+            if raw is None:
+                return  # time runs on: what trickles in is no better than silence
             listing = replace(self._naming.read(raw), raw=raw["instances"])
         except (ValueError, ListError) as error:
             log.warning("discovery: bad line: %s", error)
             self._fail()
             return
-        self._failures = 0
+        self._told()
         self._version = listing.version
         self._on_list(listing)
 
+    def _told(self) -> None:
+        """The watch has said something whole."""
+        self._failures = 0
+        self._expect(SILENCE_S)
+
     def _lost(self, watch: _Watch) -> None:
         if watch is self._watch:
             self._fail()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Callable
 from typing import Any
 
@@ -16,9 +17,11 @@
     Arrival,
     AttemptEnded,
     Event,
+    ListKind,
     Outcome,
     RequestGone,
     Send,
+    ServerList,
 )
 from fawngw.node.callers import MOST_AHEAD, MOST_PIPELINED
 from fawngw.node.http import MAX_BODY
@@ -401,3 +404,54 @@
             assert server.received == []
 
     run(main())
+
+
+# ---------------------------------------------------------------- watches on the list
+
+
+@pytest.mark.parametrize("indent", [1, 4, "\t"])
+def test_a_list_may_come_indented_over_several_lines(indent: int | str) -> None:
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(known=False, registryMode="pushed") as w,
+        ):
+            told = Told(w)
+            watch = await w.discovery.watch()
+            rows = [row("a", server.address), row("b", server.address, "DRAINING")]
+            tell(watch, json.dumps(listing(7, *rows), indent=indent).encode())
+            tell(watch, listing(8, reset=False))
+            while w.node._discovery._version != 8:
+                await asyncio.sleep(0)
+            assert (await told.first(ServerList)).kind is ListKind.FULL
+            assert w.discovery.targets == ["/v1/endpoints?watch=1&from=0"]
+
+    run(main())
+
+
+def test_a_watch_that_trickles_within_a_list_is_as_good_as_silent() -> None:
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed") as w:
+            watch = await w.discovery.watch()
+            tell(watch, b"")
+            while w.node._discovery._timer is None or w.node._discovery._failures:
+                await asyncio.sleep(0)
+            (current,) = [w.node._discovery._watch]
+            assert current is not None
+            timer = w.node._discovery._timer
+            for line in (b"{", b'  "generation": 7,', b"", b'  "reset": true,'):
+                current._lines(line)
+            assert current.objects.within()
+            assert w.node._discovery._timer is timer
+
+    run(main())
+
+
+def test_a_line_that_belongs_to_no_list_ends_a_watch_within_one() -> None:
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed") as w:
+            watch = await w.discovery.watch()
+            tell(watch, b'{\n  "generation": 7,\n  nonsense }')
+            await w.discovery.watch()
+
+    run(main())
