Reset the connection of an old caller whose answer without length breaks off

Towards a caller of HTTP/1.0, which gets such an answer up to the end of its connection, the node closed in order when the server's side was reset, and the caller took the part for the whole. To blame: `break_off` in node/callers.py. Ruled out: callers of HTTP/1.1, who get chunks or a length and miss the end. Beside it a guard that no socket holds small writes back (accepted, adopted, dialled, the watch): that held already.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -6,6 +6,7 @@
 import logging
 import select
 import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Callable
@@ -82,6 +83,7 @@
         "_connection",
         "_funded",
         "_pace",
+        "_until_close",
         "came_at",
         "class_index",
         "close",
@@ -111,6 +113,7 @@
         self._pace: Callable[[bool], None] | None = None  # of a long answer that has begun
         self._funded = False  # the budget has room for it
         self._chunked = False
+        self._until_close = False  # nothing but the connection's end ends the answer
 
     @property
     def begun(self) -> bool:
@@ -133,7 +136,8 @@
     def begin(self, message: Message, pace: Callable[[bool], None]) -> None:
         """A long answer: its pieces follow, as fast as the caller takes them and the budget has room."""
         self._choose_close()
-        self.close = self.close or (message.length is None and self.version == "1.0")
+        self._until_close = message.length is None and self.version == "1.0"
+        self.close = self.close or self._until_close
         head, self._chunked = long_answer_head(message, version=self.version, close=self.close)
         self.output = [head]
         self._pace = pace
@@ -180,7 +184,8 @@
         """The long answer will not become whole: the connection's end tells its caller so."""
         if not self.gone and not self.complete:
             self._count(502)
-            self._connection.drop()
+            # Where the connection's end is the answer's, only a reset tells this end from that.
+            self._connection.drop(reset=self._until_close)
 
     def _choose_close(self) -> None:
         connection = self._connection
@@ -475,9 +480,14 @@
         else:
             self.drop()
 
-    def drop(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
+    def drop(self, *, reset: bool = False) -> None:
+        """Close at once; with a reset what has been written and is not sent yet goes with it."""
+        if self._transport is None:
+            return
+        if reset and not self._transport.is_closing():
+            end = self._transport.get_extra_info("socket")
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._transport.abort()
 
     def close(self) -> None:
         if self._transport is not None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,9 @@
 
 import asyncio
 import json
+import os
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -26,6 +29,7 @@
 from fawngw.node.callers import MOST_AHEAD, MOST_PIPELINED
 from fawngw.node.http import MAX_BODY
 from tests.stubs import (
+    HOST,
     PATIENCE_S,
     Received,
     StubServer,
@@ -455,3 +459,57 @@
             await w.discovery.watch()
 
     run(main())
+
+
+# ---------------------------------------------------------------- ends
+
+
+@pytest.mark.parametrize("way", ["accepted", "dialled", "adopted", "watch"])
+def test_small_writes_are_not_held_back(way: str) -> None:
+    """A close over unread bytes would take with it what the system has not sent yet."""
+
+    async def main() -> None:
+        with socket.create_server((HOST, 0)) as listener:
+            descriptor = os.dup(listener.fileno()) if way == "adopted" else None
+            async with (
+                StubServer([reply("200 OK")]) as server,
+                world(row("a", server.address), accept_fd=descriptor, registryMode="pushed") as w,
+            ):
+                watch = await w.discovery.watch()
+                tell(watch, listing(2, row("a", server.address)))
+                caller = await w.caller()
+                assert (await caller.ask("look")).status == 200
+                (accepted,) = w.node._callers._open
+                (dialled,) = w.node._servers._open
+                assert w.node._discovery._watch is not None
+                ends = {"dialled": dialled._transport, "watch": w.node._discovery._watch.transport}
+                transport = ends.get(way, accepted._transport)
+                assert transport is not None
+                end = transport.get_extra_info("socket")
+                assert end.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) == 1
+
+    run(main())
+
+
+def test_a_long_answer_without_length_that_breaks_shows_so_to_an_old_caller() -> None:
+    """To HTTP/1.0 the end of such an answer is the end of its connection: a reset is no end."""
+
+    async def broken(server: StubServer, _: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (2 * MAX_BODY))
+        await server.release.wait()
+        end = writer.get_extra_info("socket")
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    async def main() -> None:
+        async with StubServer([broken]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            caller.writer.write(request("look").replace(b"HTTP/1.1", b"HTTP/1.0"))
+            head = await asyncio.wait_for(caller.reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            assert b"content-length" not in head.lower()
+            await caller.reader.readexactly(2 * MAX_BODY)
+            server.release.set()
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(caller.reader.read(), PATIENCE_S)
+
+    run(main())
