--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -188,6 +188,7 @@
         if self._keeping is not None:
             self._post(self._keeping.kept.remembered(self._clock.now()))
         self._discovery.start(known.version if known is not None else 0)
+        self._catch_up()
         if self._config.management is not None:
             try:
                 self.management = await self._management.listen(self._config.management)
@@ -576,6 +577,16 @@
         log.info("discovery is at %s:%d now", *address)
         self._discovery.move(address)
 
+    def _catch_up(self) -> None:
+        """Follow a configuration that was replaced while this process started and took no signals."""
+        try:
+            address = read_discovery(self._config.path)
+        except ConfigError:
+            return  # only the environment names discovery, or the file is being written: its signal follows
+        if address != self._config.discovery:
+            log.info("the configuration was replaced during the start")
+            self.reconfigure()
+
     def _on_list(self, listing: Listing) -> None:
         self._servers.update(listing)
         self._post(listing.event())
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -97,6 +97,26 @@
     run(main())
 
 
+def test_sighup_before_the_node_can_hear_it_ends_nothing_and_is_made_up_for(tmp_path: Path) -> None:
+    """Guards against a crash in the moment of the start, and against a node that watches where nobody is."""
+
+    async def main() -> None:
+        async with StubServer([]) as server, StubDiscovery() as old, StubDiscovery() as moved:
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps({**_configuration(server), "discovery": moved.address}))
+            process = await _start(_environment(old, config))
+            command = Path(f"/proc/{process.pid}/cmdline")
+            while not command.read_bytes().startswith(b".venv/bin/python"):
+                await asyncio.sleep(0)
+            process.send_signal(signal.SIGHUP)
+            await moved.watch()
+            process.send_signal(signal.SIGTERM)
+            _, log = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+            assert process.returncode == 0, log.decode()
+
+    run(main())
+
+
 def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path: Path) -> None:
     async def main() -> None:
         config = tmp_path / "config.json"
