Take nothing from a connection that is being closed, and shed what cannot be a caller

Found by reading, each with a test that fails without it.

A connection told to close, when idle or at the node's end, would still take a request handed over after that: the node's end is asked for in one place and carried out in another, and what is read between is lost. To blame: `close`, `drop` and `Node.stop`.

More connections than a node may have made way only where they were idle. Peers that send a part of a head, or wrong requests that are answered and read away, shut every caller out with 503 for up to 2.75 s, and took descriptors without bound. To blame: `_shed_one`. Now what has had its last answer goes first, then what is idle, then what has sent no more than a part of its first head.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -232,6 +232,18 @@
         """Between requests: may be closed, as the caller sends a crossing request anew."""
         return not self._exchanges and not self._reader.within and not self._deaf
 
+    def done(self) -> bool:
+        """It has had its last answer, and has all of it as far as can be seen."""
+        return self._deaf and not self.owes()
+
+    def resting(self) -> bool:
+        """Between requests, and nothing of an answer is still to be sent."""
+        return self.idle() and not self.owes()
+
+    def unproved(self) -> bool:
+        """The head of its first request has begun to come, and no more."""
+        return not self.used and self._reader.within and not self._reader.in_body and not self._exchanges
+
     def is_last(self, exchange: Exchange) -> bool:
         return bool(self._exchanges) and self._exchanges[-1] is exchange
 
@@ -484,12 +496,15 @@
         """Close at once; with a reset what has been written and is not sent yet goes with it."""
         if self._transport is None:
             return
+        self._deaf = True  # what may still be handed over is nobody's
         if reset and not self._transport.is_closing():
             end = self._transport.get_extra_info("socket")
             end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self._transport.abort()
 
     def close(self) -> None:
+        """Close once all that was written has gone."""
+        self._deaf = True
         if self._transport is not None:
             self._transport.close()
 
@@ -624,12 +639,16 @@
         self.budget.give(size)
 
     def _shed_one(self, newest: CallerConnection) -> None:
-        idle = [c for c in self._open if c is not newest and c.idle() and not c.owes()]
-        if idle:
-            oldest = min(idle, key=lambda c: c.since)
-            # It no longer counts: a request on another connection must not be refused until it has closed.
-            self._open.discard(oldest)
-            oldest.close()
+        """Close the connection that can best be spared, if one can: no crowd may take every descriptor."""
+        for spared in (CallerConnection.done, CallerConnection.resting, CallerConnection.unproved):
+            shed = min(
+                (c for c in self._open if c is not newest and spared(c)), key=lambda c: c.since, default=None
+            )
+            if shed is not None:
+                # It no longer counts: a request on another must not be refused until it has closed.
+                self._open.discard(shed)
+                shed.close()
+                return
 
     def _sweep(self) -> None:
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -264,7 +264,8 @@
         return self._drain.phase is Phase.SERVING and self._callers.listening() and self._servers.any_listed()
 
     def stop(self) -> None:
-        """End now, whatever is open."""
+        """End now, whatever is open; nothing more is read from callers, as nobody would answer it."""
+        self._callers.close()
         self._done.set()
 
     async def wait(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -513,3 +513,65 @@
                 await asyncio.wait_for(caller.reader.read(), PATIENCE_S)
 
     run(main())
+
+
+def test_what_comes_as_the_node_ends_is_not_taken() -> None:
+    """Guards against a request read in the turn between the last look and the end: it would be lost."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            told = Told(w)
+            caller = await w.caller()
+            assert (await caller.ask(target="/ready")).status == 200
+            (connection,) = w.node._callers._open
+            w.node.stop()
+            connection.data_received(request("look"))
+            assert not told.events and not w.node._requests
+            assert await caller.ended()
+
+    run(main())
+
+
+def test_what_comes_as_an_idle_connection_is_closed_is_not_taken() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            told = Told(w)
+            caller = await w.caller()
+            assert (await caller.ask(target="/ready")).status == 200
+            (connection,) = w.node._callers._open
+            w.node._callers.close_idle(0.0)
+            connection.data_received(request("look"))
+            assert not told.events and not w.node._requests
+            assert await caller.ended()
+
+    run(main())
+
+
+# ---------------------------------------------------------------- crowds
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /api", request("nosuch")])
+def test_a_crowd_of_peers_that_are_no_callers_shuts_nobody_out(sent: bytes) -> None:
+    """Whatever it has sent: nothing, a part of a head, or what was answered and closed from this side."""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK", b"served")]) as server,
+            world(row("a", server.address), sockets=64) as w,
+        ):
+            callers = w.node._callers
+            crowd = []
+            for _ in range(callers._most + 5):
+                peer = await w.caller()
+                crowd.append(peer)
+                peer.writer.write(sent)
+                if sent == request("nosuch"):
+                    assert (await peer.answer()).status == 400
+            while sum(c._reader.within or c._deaf for c in callers._open) < (callers._most if sent else 0):
+                await asyncio.sleep(0)
+            assert len(callers._open) <= callers._most
+            assert (await (await w.caller()).ask("look")).body == b"served"
+            for peer in crowd:
+                peer.close()
+
+    run(main())
