--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -27,11 +28,14 @@
     ServerList,
 )
 from fawngw.node.callers import MOST_AHEAD, MOST_PIPELINED
+from fawngw.node.discovery import REWATCH_MOST_S
 from fawngw.node.http import MAX_BODY
+from fawngw.node.node import Node
 from tests.stubs import (
     HOST,
     PATIENCE_S,
     Received,
+    StubDiscovery,
     StubServer,
     World,
     held,
@@ -225,6 +229,38 @@
     run(main())
 
 
+@pytest.mark.parametrize("cancel", [False, True])
+def test_a_request_whose_caller_leaves_during_a_probe_is_not_sent(cancel: bool) -> None:
+    """The idle connection that is being probed is kept for the next."""
+
+    async def main() -> None:
+        behaviours = [reply("200 OK"), held(reply("200 OK")), reply("200 OK")]
+        async with (
+            StubServer(behaviours) as server,
+            world(row("a", server.address), policyLimits=limits(cancel=cancel)) as w,
+        ):
+            caller = await w.caller()
+            assert (await caller.ask("look", target="/api/first")).status == 200
+            for connection in w.node._servers._idle():
+                connection.idle_since -= 10.0
+            w.node._servers.keep_alive.lost(1.0, asyncio.get_running_loop().time())
+            told = Told(w)
+            caller.writer.write(request("book", target="/api/left"))
+            while len(server.received) < 2:
+                await asyncio.sleep(0)
+            caller.close()
+            await told.first(RequestGone)
+            server.release.set()
+            await told.first(AttemptEnded)
+            while not w.node._servers._idle():
+                await asyncio.sleep(0)
+            assert (await (await w.caller()).ask("look", target="/api/next")).status == 200
+            assert [got.target for got in server.received] == ["/api/first", "/health", "/api/next"]
+            assert server.opened == 1
+
+    run(main())
+
+
 # ---------------------------------------------------------------- what follows an answer
 
 
@@ -461,6 +497,51 @@
     run(main())
 
 
+def test_a_late_line_of_a_watch_that_was_given_up_says_nothing() -> None:
+    """Two watches may be alive for a moment: only the last one's word counts."""
+
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed") as w:
+            told = Told(w)
+            await w.discovery.watch()
+            before = w.node._discovery._watch
+            assert before is not None
+            w.node._discovery.subscribe()
+            await w.discovery.watch()
+            assert w.node._discovery._watch is not before
+            before._lines(json.dumps(listing(9)).encode())
+            before.connection_lost(None)
+            assert not told.events and w.node._discovery._version == 0
+            assert w.node._discovery._watch is not None
+
+    run(main())
+
+
+@pytest.mark.parametrize("state", ["waiting to watch again", "a call is out", "a watch is silent"])
+def test_sighup_leaves_one_watch_whatever_goes_on(state: str, tmp_path: Path) -> None:
+    async def main() -> None:
+        path = tmp_path / "config.json"
+        async with (
+            StubDiscovery() as moved,
+            world(known=False, registryMode="pushed", path=str(path)) as w,
+        ):
+            discovery = w.node._discovery
+            path.write_text(json.dumps({"discovery": moved.address}))
+            if state != "a call is out":
+                await w.discovery.watch()
+            if state == "waiting to watch again":
+                discovery._fail()
+            w.node.reconfigure()
+            tell(await moved.watch(), listing(3))
+            while discovery._version != 3:
+                await asyncio.sleep(0)
+            assert moved.targets == ["/v1/endpoints?watch=1&from=0"]
+            timer = discovery._timer
+            assert timer is not None and timer.when() - asyncio.get_running_loop().time() > REWATCH_MOST_S
+
+    run(main())
+
+
 # ---------------------------------------------------------------- ends
 
 
@@ -575,3 +656,35 @@
                 peer.close()
 
     run(main())
+
+
+# ---------------------------------------------------------------- signals
+
+
+@pytest.mark.parametrize("before_start", [False, True])
+def test_sigterm_twice_beside_sighup_and_before_the_start_is_done_ends_in_order(
+    before_start: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if before_start:
+        start = Node.start
+
+        async def told_to_end_first(node: Node) -> tuple[str, int]:
+            node.terminate()
+            return await start(node)
+
+        monkeypatch.setattr(Node, "start", told_to_end_first)
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            w.node.terminate()
+            began = w.node._drain._began
+            w.node.terminate()
+            w.node.reconfigure()
+            assert w.node._drain._began == began, "the second signal put the end off"
+            assert (await caller.ask(target="/ready")).status == 503
+            assert (await caller.ask("look")).status == 200
+            assert await caller.ended()
+            await asyncio.wait_for(w.serving, PATIENCE_S)
+
+    run(main())
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -25,6 +25,7 @@
     Readiness,
     Refuse,
     RequestClass,
+    RequestGone,
     Send,
     ServerEntry,
     ServerList,
@@ -630,3 +631,17 @@
         expected = [math.inf, math.inf, began + 2000.0 - 5.0 if kind else math.inf]
         sends = [a for a in play.log if isinstance(a, Send) and a.request == request]
         assert [send.before_ms for send in sends] == expected
+
+
+def test_a_repeat_that_waits_for_a_place_goes_with_its_caller() -> None:
+    """One server, which turns the request away and rests: the repeat is due when the caller has left."""
+    play = make(servers=1)
+    request = play.arrive()
+    play.end(request, 0, Outcome.FULL)
+    assert not list(play.live(request)), "it did not have to wait"
+    play.owed[request].done_at = play.now
+    play.feed(RequestGone(request))
+    mark = len(play.log)
+    play.step(5000)
+    assert not any(isinstance(action, Send | Refuse | Fail) for action in play.log[mark:])
+    assert play.arrive() in {a.request for a in play.log[mark:] if isinstance(a, Send)}
