Part connections from their listener and calls from the list, and use standard names

`Ask` became `ClientRequest`; concurrency and depth of a pipeline, the delay before a connection is used again, eviction and discarded input are called so. What a node imports gains two files and no more code.

--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -45,14 +45,16 @@
     TimerFired,
 )
 from fawngw.node import management
-from fawngw.node.callers import Ask, Callers, Exchange, adopt
+from fawngw.node.callers import Callers, ClientRequest, adopt
 from fawngw.node.config import Config, ConfigError, read_discovery
 from fawngw.node.discovery import Discovery, ListError, Listing
 from fawngw.node.drain import Drain, Phase
+from fawngw.node.exchange import Exchange
 from fawngw.node.http import CLASS, CONTENT_TYPE, REQUEST_ID, Message, Sink, load_report, request_head
 from fawngw.node.management import Management, Reply
 from fawngw.node.metrics import Metrics
-from fawngw.node.servers import Call, Servers
+from fawngw.node.servers import Servers
+from fawngw.node.upstream import Call
 
 if TYPE_CHECKING:
     from fawngw.node.keeping import Keeping
@@ -344,33 +346,33 @@
 
     # ------------------------------------------------------------ requests
 
-    def _take(self, ask: Ask, exchange: Exchange) -> None:
+    def _take(self, asked: ClientRequest, exchange: Exchange) -> None:
         """A valid request of a caller's: from here on it is owed one answer."""
         self._last_id += 1
         request = self._last_id
-        budget = self._budget(ask.budget_ms)
+        budget = self._budget(asked.budget_ms)
         pending = self._requests[request] = Pending(
-            ask.message,
+            asked.message,
             exchange,
-            self._config.settings.classes[ask.class_index].effect,
+            self._config.settings.classes[asked.class_index].effect,
             budget,
-            request_head(ask.message, self._host),
+            request_head(asked.message, self._host),
         )
-        upload = ask.message.upload
+        upload = asked.message.upload
         if upload is None:
             self._set_deadline(request, pending)
         else:
-            upload.on_end = lambda: self._body_came(request, ask.budget_ms)
+            upload.on_end = lambda: self._body_came(request, asked.budget_ms)
         exchange.on_gone = lambda: self._gone(request)
         self._post(
             Arrival(
                 request,
-                ask.class_index,
+                asked.class_index,
                 budget,
-                ask.tenant,
-                ask.key,
-                ask.cost_hint_ms,
-                ask.is_repeat,
+                asked.tenant,
+                asked.key,
+                asked.cost_hint_ms,
+                asked.is_repeat,
                 streamed=upload is not None,
             )
         )
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -1,398 +1,22 @@
-"""The side towards the servers: attempts and probes, one outcome each, and the idle connections between them.
-
-Nothing is ever sent twice here.  Whatever ends after the request was handed to the socket may have run; only
-what ended before that is told as 'could not connect'.
-"""
+"""The side towards the servers: who is listed, which connection carries a call, and which ones rest."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import cast
 
 from fawngw.interface import Outcome, Readiness, ServerId
 from fawngw.node.discovery import Listing
-from fawngw.node.http import NOT_RUN, Message, MessageError, Reader, Sink, Upload, chunk
+from fawngw.node.http import Message, Upload
+from fawngw.node.upstream import Begin, Call, Connection, Done, KeepAlive, MayWrite, Render
 
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.5  # of the time after which servers close: a request must never cross that close
-EARLY_PART = 0.2  # of the idle time after which one was found lost: where some are closed, others drop sooner
 SWEEP_S = 1.0
-AT_ONCE_S = 0.05  # a break this soon follows from what came before it: no work and no idle time is so short
-STUCK_S = 30.0  # without a byte of a long body, or room for one: a slow peer may pause for seconds
-HOLD_S = 0.25  # an answer of unknown length is held for so long, or to a full hold, before it is passed on
-REST_S = 0.01  # between an answer and the next call: what some servers send behind an answer comes sooner
-TRUST_S = 10.0  # without a new sign of it, trust in idle connections doubles in this time
-
-MayWrite = Callable[[], bool]
-Done = Callable[[Outcome, Message | None], None]
-Render = Callable[[float], bytes]
-Begin = Callable[[Message, Callable[[bool], None]], Sink | None]
-
-
-class Call:
-    """One request to a server: an attempt or a probe.  It ends once, with one outcome."""
-
-    __slots__ = (
-        "_done",
-        "_loop",
-        "_timer",
-        "begin",
-        "connection",
-        "deadline",
-        "ended",
-        "may_write",
-        "on_written",
-        "path",
-        "render",
-        "started",
-        "upload",
-        "written",
-    )
-
-    def __init__(
-        self,
-        render: Render,
-        timeout_s: float,
-        done: Done,
-        *,
-        on_written: Callable[[], None] | None = None,
-        begin: Begin | None = None,
-        upload: Upload | None = None,
-        may_write: MayWrite = lambda: True,
-    ) -> None:
-        self._loop = asyncio.get_running_loop()
-        self.render = render
-        self.may_write = may_write  # asked once a connection is there: a dial or a probe takes its time
-        self.connection: Connection | None = None
-        self.written = False  # its last byte may have reached the server
-        self.started = False  # its answer is long and has begun
-        self.on_written = on_written
-        self.begin = begin  # takes a long answer and the means to pace it; None where only a status is asked
-        self.upload = upload
-        self.path = "not written"  # which connection it went out on, for the log
-        self.ended = False
-        self._done = done
-        self._timer: asyncio.TimerHandle | None = None
-        self.deadline = math.inf
-        if upload is None or upload.ended:
-            self.expire_in(timeout_s)
-
-    def expire_in(self, timeout_s: float) -> None:
-        """Wait so long from now on."""
-        self.deadline = self._loop.time() + timeout_s
-        if not self.ended and not self.started:
-            self._timer = self._loop.call_later(timeout_s, self._time_out)
-
-    def start(self, message: Message, pace: Callable[[bool], None]) -> Sink | None:
-        """A long answer has begun: time counts no longer.  Where its pieces go, None if nobody wants them."""
-        self.started = True
-        self._stop_timer()
-        return self.begin(message, pace) if self.begin is not None else None
-
-    def end(self, outcome: Outcome, answer: Message | None = None) -> None:
-        """The one outcome; later ones are nobody's."""
-        if self.ended:
-            return
-        self.ended = True
-        self._stop_timer()
-        self.connection = None
-        if self.upload is not None and self.upload.spent:
-            self.upload.detach()
-        self._done(outcome, answer)
-
-    def give_up(self, outcome: Outcome) -> None:
-        """Stop waiting.  The connection goes with the call, so that its late bytes reach no other request."""
-        connection = self.connection
-        if not self.ended and connection is not None:
-            connection.abandon()
-        self.end(outcome)
-
-    def in_chunks(self) -> bool:
-        """Whether its long body is of unknown length."""
-        return self.upload is not None and self.upload.length is None
-
-    def leave(self, outcome: Outcome) -> None:
-        """Stop waiting, but let the answer come in: a new connection would cost more than its bytes."""
-        if self.started or (self.connection is not None and not self.written):
-            self.give_up(outcome)
-            return
-        if not self.ended and self.connection is not None:
-            self.connection.leave(self.deadline)
-        self.end(outcome)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def _time_out(self) -> None:
-        self.give_up(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
-
-
-class KeepAlive:
-    """How long an idle connection may be trusted with a request that must not be lost.
-
-    The settings say when servers close at the latest.  Some close or drop them far earlier, without a word,
-    and what is written to a dropped one may have run: a request that cannot be repeated has then failed.
-    """
-
-    def __init__(self, most_s: float) -> None:
-        self._most_s = most_s
-        self._trusted_s = most_s
-        self._at = 0.0
-
-    def trusted_s(self, now: float) -> float:
-        return min(self._most_s, self._trusted_s * math.exp2(min((now - self._at) / TRUST_S, 60.0)))
-
-    def lost(self, idle_s: float, now: float) -> None:
-        """A server gave up a connection that had been idle for this long."""
-        self._trusted_s = min(self.trusted_s(now), EARLY_PART * idle_s)
-        self._at = now
-
-
-class Connection(asyncio.Protocol):
-    """One connection to a server; carries one call at a time."""
-
-    def __init__(self, peer: Peer, servers: Servers) -> None:
-        self.peer = peer
-        self.idle_since = 0.0
-        self._answer: Message | None = None
-        self._spoiled = False  # more came in than was asked for: it carries no further call
-        self._carried = 0  # calls so far
-        self._idled_s = 0.0  # before the present call
-        self._carried_at = 0.0
-        self._servers = servers
-        self._call: Call | None = None
-        self._left: asyncio.TimerHandle | None = None  # the end of the wait for an answer that nobody wants
-        self._reader = Reader(self, requests=False)
-        self._transport: asyncio.Transport | None = None
-        self._sink: Sink | None = None  # of a long answer
-        self._held_back = False  # its caller does not read
-        self._choked = False  # the server does not read
-        self._drained: Callable[[], None] | None = None  # once all that was written has gone
-        self._hold: asyncio.TimerHandle | None = None
-        self._moved_at = 0.0  # a piece of a long body last went on
-        self.on_lost: Callable[[], None] | None = None  # for whoever has it rest
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
-        self._servers.opened(self)
-
-    def usable(self) -> bool:
-        return self._transport is not None and not self._transport.is_closing()
-
-    def carry(self, call: Call) -> None:
-        """Write the call's request; from here on it may have run."""
-        assert self._transport is not None
-        now = asyncio.get_running_loop().time()
-        self._call = call
-        call.connection = self
-        call.written = call.upload is None
-        self._carried_at = self._moved_at = now
-        self._idled_s = now - self.idle_since if self._carried else 0.0
-        call.path = (
-            f"on a connection idle for {1000.0 * self._idled_s:.0f} ms after {self._carried} calls"
-            if self._carried
-            else "on a new connection"
-        )
-        self._carried += 1
-        self._transport.write(call.render(call.deadline - now))
-        if call.upload is not None:
-            call.upload.attach(self)
-        elif call.on_written is not None:
-            call.on_written()
-
-    # A long body on its way to the server.
-
-    def piece(self, data: bytes) -> None:
-        if self._transport is not None and self._call is not None:
-            self._moved_at = asyncio.get_running_loop().time()
-            self._transport.write(chunk(data) if self._call.in_chunks() else data)
-
-    def last(self) -> None:
-        call = self._call
-        if call is None or self._transport is None:
-            return
-        if call.in_chunks():
-            self._transport.write(chunk(b""))
-        call.written = True  # in doubt it ran; it counts as written only once the server's side has it
-        self._drained = call.on_written
-        self._transport.set_write_buffer_limits(0)
-        if not self._transport.get_write_buffer_size():
-            self._all_written()
-
-    def _all_written(self) -> None:
-        drained, self._drained = self._drained, None
-        if drained is not None:
-            assert self._transport is not None
-            self._transport.set_write_buffer_limits()
-            drained()
-
-    def pause_writing(self) -> None:
-        self._choked = True
-        if self._call is not None and self._call.upload is not None:
-            self._call.upload.pace(False)
-
-    def resume_writing(self) -> None:
-        self._choked = False
-        self._moved_at = asyncio.get_running_loop().time()
-        if self._call is not None and self._call.upload is not None:
-            self._call.upload.pace(True)
-            if not self._call.ended:
-                self._all_written()
-
-    # A long answer on its way to the caller.
-
-    def pace(self, go_on: bool) -> None:
-        """Read on, or not, as the caller takes what was read."""
-        if self._transport is None or self._transport.is_closing() or self._held_back is not go_on:
-            return
-        self._held_back = not go_on
-        self._moved_at = asyncio.get_running_loop().time()
-        if go_on:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
-
-    def stuck(self, now: float) -> bool:
-        """Whether a long body has made no way for long, through no fault of the caller's."""
-        if self._call is None or now - self._moved_at <= STUCK_S:
-            return False
-        uploading = self._call.upload is not None and not self._call.written
-        return (self._sink is not None and not self._held_back) or (uploading and self._choked)
-
-    def on_head(self, message: Message) -> None:
-        if message.status == 200 and message.length is None and self._call is not None:
-            self._hold = asyncio.get_running_loop().call_later(HOLD_S, self._held_long_enough, message)
-
-    def _held_long_enough(self, message: Message) -> None:
-        if self._reader.open_ended and self._call is not None:
-            if self._reader.body_size:
-                self._reader.hand_on()
-            else:
-                self.on_head(message)
-
-    def on_long(self, message: Message) -> None:
-        call = self._call
-        if call is not None and message.status == 200 and call.begin is not None:
-            self._moved_at = asyncio.get_running_loop().time()
-            self._sink = call.start(message, self.pace)
-            if self._sink is None:
-                call.give_up(Outcome.CANCELLED)
-            elif message.body:
-                self._sink.piece(message.body)
-        else:
-            # Only the status counts: reading on would cost more than a new connection.
-            self._answer, self._spoiled = message, True
-
-    def on_piece(self, piece: bytes) -> None:
-        if self._sink is not None and not self._spoiled:
-            self._moved_at = asyncio.get_running_loop().time()
-            self._sink.piece(piece)
-
-    def on_end(self, message: Message) -> None:
-        if self._sink is not None:
-            self._answer = message
-
-    def leave(self, deadline: float) -> None:
-        """Read the answer of the present call away until then; only after it another call is carried."""
-        self._call = None
-        self._left = asyncio.get_running_loop().call_at(deadline, self.abandon)
-        self._servers.left.add(self)
-
-    def _wanted(self) -> None:
-        """No answer is to be read away any more, nor held."""
-        if self._hold is not None:
-            self._hold.cancel()
-            self._hold = None
-        if self._left is not None:
-            self._left.cancel()
-            self._left = None
-            self._servers.left.discard(self)
-
-    def abandon(self) -> None:
-        """Close at once; what still comes in is not read."""
-        self._wanted()
-        self._call = self._sink = None
-        if self._transport is not None:
-            self._transport.abort()
-
-    def data_received(self, data: bytes) -> None:
-        if self._call is None and self._left is None:
-            self.abandon()  # nothing was asked: what speaks here must not meet the next request
-            return
-        try:
-            self._reader.feed(data)
-        except MessageError as error:
-            log.warning("server %s: %s", self.peer.name, error)
-            self._spoiled = True
-        self._conclude()
-
-    def eof_received(self) -> bool:
-        self._reader.finish()
-        if self._answer is not None:
-            self._conclude()
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        now = asyncio.get_running_loop().time()
-        if self in self.peer.idle:
-            if now - self.idle_since > AT_ONCE_S:  # else given up with the answer, not for being idle
-                self._servers.keep_alive.lost(now - self.idle_since, now)
-        elif self._call is not None and self._carried > 1 and now - self._carried_at < AT_ONCE_S:
-            self._servers.keep_alive.lost(self._idled_s, now)
-        self._servers.closed(self)
-        self.break_off()
-        if self.on_lost is not None:
-            self.on_lost()
-
-    def break_off(self) -> None:
-        call = self._call
-        self.abandon()
-        if call is not None:
-            call.end(Outcome.RESET if call.written else Outcome.CONNECT_FAILED)
-
-    def on_whole(self, message: Message) -> None:
-        if self._answer is None:
-            self._answer = message
-        else:
-            self._spoiled = True
-
-    def _conclude(self) -> None:
-        """End the call once all that came in is read.
-
-        Not while it is being read: whatever follows an answer in the same piece would meet the next request,
-        which may be written to this connection as soon as the call has ended.
-        """
-        answer, call = self._answer, self._call
-        if answer is None:
-            if self._spoiled:
-                self.break_off()
-            return
-        self._wanted()
-        self._answer = self._call = self._sink = None
-        whole = call is None or call.written  # else the rest of the request has nowhere to go
-        if answer.keep_alive and whole and not self._spoiled and not self._reader.within and self.usable():
-            self.pace(True)
-            self._servers.rest(self)
-        else:
-            self.abandon()
-        if call is not None:
-            call.end(_outcome(answer), answer)
-
-
-def _outcome(message: Message) -> Outcome:
-    if message.status == 200:
-        return Outcome.OK
-    if message.status in (503, 504) and message.headers.get(NOT_RUN) == b"1":
-        return Outcome.FULL
-    if 400 <= message.status < 500 and message.status not in (408, 429):  # these tell of the server
-        return Outcome.REJECTED
-    return Outcome.ERROR
+REUSE_DELAY_S = 0.01  # between an answer and the next call: what some servers send unasked comes sooner
 
 
 @dataclass(slots=True, eq=False)
@@ -487,7 +111,7 @@
             return call
         now = self._loop.time()
         while peer.idle:
-            connection = peer.most_recent(now - REST_S)
+            connection = peer.most_recent(now - REUSE_DELAY_S)
             idle_s = now - connection.idle_since
             doubtful = not repeatable and idle_s > self.keep_alive.trusted_s(now)
             if doubtful and self._probe is None:
@@ -497,10 +121,10 @@
                 continue
             if doubtful and self._probe is not None:
                 self._check(connection, call, self._probe)
-            elif idle_s >= REST_S:
+            elif idle_s >= REUSE_DELAY_S:
                 connection.carry(call)
             else:
-                self._carry_rested(connection, call)
+                self._carry_after_delay(connection, call)
             return call
         self._open_for(peer, call)
         return call
@@ -512,7 +136,7 @@
         def checked(_: Outcome, answer: Message | None) -> None:
             if answer is not None and connection in peer.idle:
                 peer.idle.remove(connection)
-                self._carry_rested(connection, call)
+                self._carry_after_delay(connection, call)
             elif not peer.current:
                 call.end(Outcome.CONNECT_FAILED)
             elif not call.ended:
@@ -520,22 +144,22 @@
 
         connection.carry(Call(lambda _: probe, self._connect_s, checked))
 
-    def _carry_rested(self, connection: Connection, call: Call) -> None:
+    def _carry_after_delay(self, connection: Connection, call: Call) -> None:
         """Have the call carried once the connection has rested for a moment since its last answer.
 
         A second answer, or whatever else a server sends unasked behind an answer, would be taken for the
         answer to a call that goes out before it has come.  While nothing is asked it spoils the connection.
         """
-        left = connection.idle_since + REST_S - self._loop.time()
+        left = connection.idle_since + REUSE_DELAY_S - self._loop.time()
         if left <= 0.0:
-            self._hand(call, connection)
+            self._dispatch(call, connection)
             return
 
         def go_on() -> None:
             timer.cancel()
             connection.on_lost = None
             if connection.usable() or call.ended or not connection.peer.current:
-                self._hand(call, connection)
+                self._dispatch(call, connection)
             else:
                 self._open_for(connection.peer, call)
 
@@ -560,9 +184,9 @@
         except (OSError, TimeoutError):
             call.end(Outcome.CONNECT_FAILED)
             return
-        self._hand(call, connection)
+        self._dispatch(call, connection)
 
-    def _hand(self, call: Call, connection: Connection) -> None:
+    def _dispatch(self, call: Call, connection: Connection) -> None:
         """Have a connection that has just come up, or proved to stand, carry the call, if it still may.
 
         What allowed the call when it was decided may be over by now: its server drains or has started anew,
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from fawngw.node import callers, servers
-from fawngw.node.callers import BODY_S, FIRST_S, HEAD_S, CallerConnection
+from fawngw.node import callers, exchange, upstream
+from fawngw.node.exchange import BODY_S, FIRST_S, HEAD_S, CallerConnection
 from fawngw.node.http import MAX_BODY, Message, MessageError, Reader
 from tests.stubs import (
     HOST,
@@ -334,8 +334,8 @@
             assert sent < size, "the whole answer was taken in, though nobody reads it"
             (connection,) = w.node._callers._open
             assert connection._transport is not None
-            assert connection._transport.get_write_buffer_size() <= callers.LONG_BYTES
-            assert w.node._callers.budget.held == callers.LONG_BYTES
+            assert connection._transport.get_write_buffer_size() <= exchange.LONG_BYTES
+            assert w.node._callers.budget.held == exchange.LONG_BYTES
             got = 0
             while got < size:
                 got += len(await asyncio.wait_for(caller.reader.read(1 << 20), PATIENCE_S))
@@ -347,8 +347,8 @@
     """Its connection was ended a second after the last piece, with up to 64 KiB not sent yet."""
 
     async def main() -> None:
-        monkeypatch.setattr(callers, "LINGER_S", 0.02)
-        monkeypatch.setattr(callers, "LINGER_MOST_S", 0.04)
+        monkeypatch.setattr(exchange, "LINGER_S", 0.02)
+        monkeypatch.setattr(exchange, "LINGER_MOST_S", 0.04)
         size = 4 * 1024 * 1024
         pour = written(OK + b"Content-Length: %d\r\n\r\n" % size + bytes(size))
         loop = asyncio.get_running_loop()
@@ -505,7 +505,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def main() -> None:
-        monkeypatch.setattr(callers, "STALLED_S", 0.3)
+        monkeypatch.setattr(exchange, "STALLED_S", 0.3)
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
             caller.writer.write(request("book", body=LONG)[:200_000])
@@ -538,7 +538,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def main() -> None:
-        monkeypatch.setattr(servers, "STUCK_S", 0.5)
+        monkeypatch.setattr(upstream, "STUCK_S", 0.5)
         with socket.socket() as deaf:
             deaf.bind((HOST, 0))
             deaf.listen()  # connections come up, and nobody reads from them
@@ -567,7 +567,7 @@
 def test_more_long_bodies_than_memory_has_room_for_are_refused_at_once() -> None:
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address), memory_mb=4) as w:
-            held = w.node._callers.budget.most // callers.LONG_BYTES
+            held = w.node._callers.budget.most // exchange.LONG_BYTES
             assert held >= 1
             going = [await w.caller() for _ in range(held)]
             for caller in going:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -27,8 +27,8 @@
     Send,
     ServerList,
 )
-from fawngw.node.callers import MOST_AHEAD, MOST_PIPELINED
 from fawngw.node.discovery import REWATCH_MOST_S
+from fawngw.node.exchange import MAX_CONCURRENT, MAX_PIPELINED
 from fawngw.node.http import MAX_BODY
 from fawngw.node.node import Node
 from tests.stubs import (
@@ -276,7 +276,7 @@
     probed: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against the next call on that connection being answered by it, after a probe as well."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", PATIENCE_S)
+    monkeypatch.setattr("fawngw.node.servers.REUSE_DELAY_S", PATIENCE_S)
 
     async def main() -> None:
         async with (
@@ -311,7 +311,7 @@
 # ---------------------------------------------------------------- callers that leave unseen
 
 
-@pytest.mark.parametrize("rows", [2, MOST_AHEAD, 500])
+@pytest.mark.parametrize("rows", [2, MAX_PIPELINED, 500])
 def test_a_caller_that_sends_many_requests_at_once_and_leaves_is_seen_to_leave(rows: int) -> None:
     """Guards against requests sent on long after, since a connection with two of them was read no further."""
 
@@ -322,13 +322,13 @@
             caller.writer.write(request("look"))
             await asyncio.wait_for(server.got.wait(), PATIENCE_S)
             caller.writer.write(request("look") * rows)
-            while len(w.node._requests) < MOST_PIPELINED:
+            while len(w.node._requests) < MAX_CONCURRENT:
                 await asyncio.sleep(0)
             caller.close()
             while w.node._requests:
                 await asyncio.sleep(0)
             taken = sum(isinstance(event, Arrival) for event in told.events)
-            assert taken == MOST_PIPELINED, "what waits behind others was handed on"
+            assert taken == MAX_CONCURRENT, "what waits behind others was handed on"
             server.release.set()
 
     run(main())
@@ -338,11 +338,11 @@
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
-            caller.writer.write(request("look") * (3 * MOST_AHEAD))
-            answers = [(await caller.answer()).status for _ in range(MOST_AHEAD)]
-            assert answers == [200] * MOST_AHEAD
+            caller.writer.write(request("look") * (3 * MAX_PIPELINED))
+            answers = [(await caller.answer()).status for _ in range(MAX_PIPELINED)]
+            assert answers == [200] * MAX_PIPELINED
             assert await caller.ended()
-            assert len(server.received) == MOST_AHEAD
+            assert len(server.received) == MAX_PIPELINED
 
     run(main())
 
@@ -367,7 +367,7 @@
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
-            caller.writer.write(request("look") * MOST_PIPELINED)
+            caller.writer.write(request("look") * MAX_CONCURRENT)
             caller.writer.write(request("book", body=b"x" * (MAX_BODY // 2)) * 8)
             while not w.node._callers._open:
                 await asyncio.sleep(0)
@@ -389,16 +389,16 @@
         async with StubServer([held(reply("200 OK"))]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
             long = request("book", body=b"x" * (4 * MAX_BODY))
-            caller.writer.write(request("look") * MOST_PIPELINED + long)
+            caller.writer.write(request("look") * MAX_CONCURRENT + long)
             while not w.node._callers._open:
                 await asyncio.sleep(0)
             (connection,) = w.node._callers._open
             while not connection._spoilt:
                 await asyncio.sleep(0)
             server.release.set()
-            assert [(await caller.answer()).status for _ in range(MOST_PIPELINED)] == [200, 200]
+            assert [(await caller.answer()).status for _ in range(MAX_CONCURRENT)] == [200, 200]
             assert await caller.ended()
-            assert len(server.received) == MOST_PIPELINED
+            assert len(server.received) == MAX_CONCURRENT
 
     run(main())
 
@@ -408,8 +408,8 @@
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
             told = Told(w)
             caller = await w.caller()
-            caller.writer.write(request("look", deadline="0.4") * (MOST_PIPELINED + 1))
-            answers = [(await caller.answer()).status for _ in range(MOST_PIPELINED + 1)]
+            caller.writer.write(request("look", deadline="0.4") * (MAX_CONCURRENT + 1))
+            answers = [(await caller.answer()).status for _ in range(MAX_CONCURRENT + 1)]
             assert set(answers) == {503}
             arrivals = [event for event in told.events if isinstance(event, Arrival)]
             assert arrivals[0].budget_ms > 300.0
@@ -648,7 +648,9 @@
                 peer.writer.write(sent)
                 if sent == request("nosuch"):
                     assert (await peer.answer()).status == 400
-            while sum(c._reader.within or c._deaf for c in callers._open) < (callers._most if sent else 0):
+            while sum(c._reader.within or c._discarding for c in callers._open) < (
+                callers._most if sent else 0
+            ):
                 await asyncio.sleep(0)
             assert len(callers._open) <= callers._most
             assert (await (await w.caller()).ask("look")).body == b"served"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,8 +9,8 @@
 import pytest
 
 from fawngw.interface import Action, AttemptEnded, Event, RequestGone
-from fawngw.node.callers import FIRST_S, CallerConnection
 from fawngw.node.discovery import REWATCH_MOST_S, REWATCH_S
+from fawngw.node.exchange import FIRST_S, CallerConnection
 from fawngw.node.node import ADOPT_WAIT_S
 from tests.stubs import (
     HOST,
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -12,7 +12,8 @@
 from fawngw.interface import Outcome
 from fawngw.node.discovery import Naming
 from fawngw.node.http import Message
-from fawngw.node.servers import Call, KeepAlive, Servers
+from fawngw.node.servers import Servers
+from fawngw.node.upstream import Call, KeepAlive
 from tests.stubs import (
     HOST,
     PATIENCE_S,
