--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -596,31 +596,25 @@
     run(main())
 
 
-def test_what_comes_as_the_node_ends_is_not_taken() -> None:
-    """Guards against a request read in the turn between the last look and the end: it would be lost."""
+def _end(w: World) -> None:
+    w.node.stop()
 
-    async def main() -> None:
-        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
-            told = Told(w)
-            caller = await w.caller()
-            assert (await caller.ask(target="/ready")).status == 200
-            (connection,) = w.node._callers._open
-            w.node.stop()
-            connection.data_received(request("look"))
-            assert not told.events and not w.node._requests
-            assert await caller.ended()
 
-    run(main())
+def _close_idle(w: World) -> None:
+    w.node._callers.close_idle(0.0)
+
 
+@pytest.mark.parametrize("close", [_end, _close_idle])
+def test_what_comes_as_a_connection_is_closed_is_not_taken(close: Callable[[World], None]) -> None:
+    """Guards against a request read in the turn between the last look and the end: it would be lost."""
 
-def test_what_comes_as_an_idle_connection_is_closed_is_not_taken() -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
             told = Told(w)
             caller = await w.caller()
             assert (await caller.ask(target="/ready")).status == 200
             (connection,) = w.node._callers._open
-            w.node._callers.close_idle(0.0)
+            close(w)
             connection.data_received(request("look"))
             assert not told.events and not w.node._requests
             assert await caller.ended()
