--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -24,9 +24,13 @@
 SMOOTHING = 0.125  # of the usual answer time, as for TCP's smoothed round trip (RFC 6298)
 
 
+def _idle_since(connection: Connection) -> float:
+    return connection.idle_since
+
+
 @dataclass(slots=True, eq=False)
 class Peer:
-    """A server process as it is listed, and this node's idle connections to it, the latest used last."""
+    """A server process as it is listed, and this node's idle connections to it, by `idle_since`."""
 
     name: str
     address: tuple[str, int]
@@ -37,8 +41,12 @@
     growing: int = 0  # dials beside a connection that rests
 
     def most_recent(self, before: float) -> Connection:
-        """The idle connection used last of those used before this, or never; else the one used first."""
-        return next((c for c in reversed(self.idle) if c.idle_since <= before or not c.used), self.idle[0])
+        """The idle connection used last of those used before this, or the first that will have been."""
+        return self.idle[max(0, bisect.bisect_right(self.idle, before, key=_idle_since) - 1)]
+
+    def keep(self, connection: Connection) -> None:
+        """One more idle connection."""
+        bisect.insort(self.idle, connection, key=_idle_since)
 
     def answered(self, took_s: float) -> None:
         """It has given a good answer, so long after the call."""
@@ -188,8 +196,9 @@
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
             return call
         now = self._loop.time()
+        rested = now - REUSE_DELAY_S
         while peer.idle:
-            connection = peer.most_recent(now - REUSE_DELAY_S)
+            connection = peer.most_recent(rested)
             idle_s = now - connection.idle_since
             doubtful = not repeatable and idle_s > self.keep_alive.trusted_s(now)
             if doubtful and self._probe is None:
@@ -199,7 +208,7 @@
                 continue
             if doubtful and self._probe is not None:
                 self._check(connection, call, self._probe)
-            elif idle_s >= REUSE_DELAY_S or not connection.used:
+            elif connection.idle_since <= rested:
                 connection.carry(call)
             else:
                 self._carry_after_delay(connection, call)
@@ -294,18 +303,17 @@
 
     def rest(self, connection: Connection) -> None:
         """Keep a connection for the next call, if its server is still the same process."""
-        if not connection.peer.current:
-            connection.abandon()
-            return
-        connection.idle_since = self._loop.time()
-        connection.peer.idle.append(connection)
+        now = self._loop.time()
+        # One that has given no answer yet has none to follow it.
+        connection.idle_since = now if connection.used else now - REUSE_DELAY_S
+        self.put_back(connection)
 
     def put_back(self, connection: Connection) -> None:
         """Keep a connection that was taken up and carried nothing; its rest goes on."""
-        if not connection.peer.current or not connection.usable():
+        if connection.peer.current and connection.usable():
+            connection.peer.keep(connection)
+        else:
             connection.abandon()
-            return
-        bisect.insort(connection.peer.idle, connection, key=lambda c: c.idle_since)
 
     def close_idle(self, server: ServerId) -> None:
         peer = self._peers.get(server)
