Say in one line that there is no store where crowpost state finds none

`crowpost state verify` of an empty directory, or of one that holds other things, said `whole` with exit code 0, `show` printed a state that does not exist, and `repair` left a lock there, or made the directory where the path was mistyped.

Cause: recovery takes such a directory for a store to be begun, which is right for a node and wrong for who asks what is there. Whether any file is there that only a store leaves is now one question (`store_files`), which recovery asks as well. Ruled out: an error in `look`, as a second process of an upgrade and the storm read directories that hold no store yet.

The three commands now say `there is no store` on stderr with exit code 1, print nothing and leave no file; a path that is no directory ends with 2 as before.

--- a/fawngw/cli/state.py
+++ b/fawngw/cli/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import sys
 import time
 from pathlib import Path
 from typing import Annotated, Any
@@ -25,6 +26,21 @@
     return f"{seconds:.0f} s" if seconds < 600.0 else f"{seconds / 60.0:.0f} min"
 
 
+def _require_store(directory: Path) -> None:
+    """End in one line, with exit code 1, where nothing of a store is; changes nothing, not even by a lock."""
+    from fawngw.store.disk import Disk
+    from fawngw.store.recover import store_files
+
+    disk = Disk(directory, lock=False)
+    try:
+        held = store_files(disk.names(), disk.read)
+    finally:
+        disk.close()
+    if not held:
+        print(f"crowpost: {directory}: there is no store", file=sys.stderr)
+        raise typer.Exit(1)
+
+
 @app.command()
 def show(directory: Directory, as_json: AsJson = False) -> None:
     """What a node would find there.  Changes nothing, and may be asked while the node runs.
@@ -34,6 +50,7 @@
     from fawngw.node.kept import read
     from fawngw.store.carrier import look
 
+    _require_store(directory)
     found = look(directory)
     kept = read(found)
     servers: list[dict[str, Any]] = [
@@ -86,13 +103,15 @@
 
 @app.command()
 def verify(directory: Directory, as_json: AsJson = False) -> None:
-    """Read every byte; exit code 1 if a process that starts there would refuse it or find anything amiss.
+    """Read every byte; exit code 1 if it holds no store, or one that a starting process would refuse
+    or find anything amiss in.
 
     Example: crowpost state verify /var/lib/crowpost/n3
     """
     from fawngw.store.disk import Disk
     from fawngw.store.repair import verify as read_all
 
+    _require_store(directory)
     disk = Disk(directory, lock=False)
     try:
         told = read_all(disk.names(), disk.read)
@@ -143,6 +162,7 @@
     """
     from fawngw.store.repair import copy_and_repair
 
+    _require_store(directory)
     stamp = time.strftime("%Y%m%d-%H%M%S")
     copy = to or directory.with_name(f"{directory.name}-copy-{stamp}")
     saved = copy_and_repair(directory, copy, owner)
--- a/fawngw/store/recover.py
+++ b/fawngw/store/recover.py
@@ -45,6 +45,16 @@
 Read = Callable[[str], bytes]
 
 
+def store_files(names: Iterable[str], read: Read) -> list[str]:
+    """Of these files those that only a store leaves; without any of them there is no store.
+
+    The first log is made before the store's own file, and nothing is written to it until then: without a
+    record it is none.
+    """
+    own = [name for name in names if name == STORE or read_name(name) is not None]
+    return [n for n in own if STORE in own or n != log_name(1) or len(read(n)) > HEAD_BYTES]
+
+
 def recover(names: Iterable[str], read: Read, owner: str, fresh_identity: bytes) -> tuple[Found, bytes]:
     """What the directory holds, and its identity.
 
@@ -59,11 +69,9 @@
         if name.endswith(NEW):
             found.repairs.append(Remove(name))  # never got its name: nothing depended on it
     if STORE not in present:
-        for name, _ in kept:
-            # The first log is made before the store's own file, and nothing is written to it until then.
-            if name != log_name(1) or len(read(name)) > HEAD_BYTES:
-                raise StoreError(f"{STORE} is missing beside {name}: it was removed by other hands")
-            found.repairs.append(Remove(name))
+        for name in store_files(present, read):
+            raise StoreError(f"{STORE} is missing beside {name}: it was removed by other hands")
+        found.repairs += [Remove(name) for name, _ in kept]
         found.fresh = True
         found.repairs += _begin(owner, fresh_identity)
         found.segments = [(1, log_name(1))]
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -18,6 +18,7 @@
 from hypothesis import strategies as st
 
 from fawngw import Balancer
+from fawngw.cli.main import main
 from fawngw.interface import (
     ListKind,
     Remembered,
@@ -471,3 +472,28 @@
     again = crowpost("state", "repair", str(state), "--to", str(tmp_path / "copy"))
     assert again.returncode == 2 and "File exists" in again.stderr
     assert log.read_bytes() == data and os.listdir(tmp_path / "copy")
+
+
+@pytest.mark.parametrize("command", ["show", "verify", "repair"])
+def test_where_there_is_no_store_the_command_says_so_and_changes_nothing(
+    command: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against `whole` for a mistyped path, and against a repair that leaves a lock there."""
+
+    def ask(*arguments: str) -> tuple[object, str, str]:
+        monkeypatch.setattr("sys.argv", ["crowpost", "state", command, *arguments])
+        with pytest.raises(SystemExit) as ended:
+            main()
+        return ended.value.code, *capsys.readouterr()
+
+    empty, other, missing = (tmp_path / name for name in ("empty", "other", "missing"))
+    empty.mkdir()
+    other.mkdir()
+    (other / "notes.txt").write_text("no store")
+    before = sorted(tmp_path.rglob("*"))
+    for path in (empty, other):
+        assert ask(str(path)) == (1, "", f"crowpost: {path}: there is no store\n")
+        assert ask(str(path), "--json") == (1, "", f"crowpost: {path}: there is no store\n")
+    code, out, error = ask(str(missing))
+    assert (code, out, len(error.splitlines())) == (2, "", 1)
+    assert sorted(tmp_path.rglob("*")) == before
