Begin no attempt for a caller whose end is here and not read yet

Ruled out: other ways to wait unread; a connection is read on but for a long body that waits, flood and answers that close included.

An end behind more than the system's buffers hold still shows only as it is read on.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -165,8 +165,7 @@
         for connection in [c for c in self._open if c.stalled(now)]:
             connection.give_up()
         for connection in [c for c in self._open if c.left_unseen()]:
-            log.info("a caller has left while its long body waited")
-            connection.drop()
+            connection.lose()
 
     def close_idle(self, least_s: float) -> None:
         """Close the connections that have been idle for this long."""
--- a/fawngw/node/exchange.py
+++ b/fawngw/node/exchange.py
@@ -129,6 +129,11 @@
         if self._pace is not None and not self.complete:
             self._pace(self._funded and self._connection.takes(self))
 
+    def notice_end(self) -> None:
+        """Look whether its caller has left unseen: asked before an attempt, which would be for nobody."""
+        if not self.gone and self._connection.left_unseen():
+            self._connection.lose()
+
     def piece(self, data: bytes) -> None:
         if not self.gone:
             self.output.append(chunk(data) if self._chunked else data)
@@ -463,6 +468,13 @@
         else:
             self.drop()
 
+    def lose(self) -> None:
+        """Its caller has left unseen: whoever works on its requests is told now."""
+        log.info("a caller has left while its long body waited")
+        self._discarding = True
+        self._leave()
+        self.drop()
+
     def drop(self, *, reset: bool = False) -> None:
         """Close at once; with a reset what has been written and is not sent yet goes with it."""
         if self._transport is None:
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -448,9 +448,16 @@
 
     # ------------------------------------------------------------ attempts
 
+    def _wanted(self, request: RequestId) -> Pending | None:
+        """An open request whose caller has not left by now."""
+        pending = self._requests.get(request)
+        if pending is not None:
+            pending.exchange.notice_end()
+        return self._requests.get(request)
+
     def _send(self, action: Send) -> None:
         request, server = action.request, action.server
-        pending = self._requests.get(request)
+        pending = self._wanted(request)
         if pending is None:
             # Its caller left while this was decided, and the module does not know yet.
             struck = self._struck[request]
@@ -473,7 +480,7 @@
 
         def may_write() -> bool:
             """A repeat has its window; and nobody may have it any more, cancelled or not."""
-            wanted = self._requests.get(request) is pending and pending.started is None
+            wanted = self._wanted(request) is pending and pending.started is None
             return wanted and self._clock.now() < action.before_ms
 
         def written() -> None:
