Count what a server turns away as no load that servers bear, for the budget of cold ones

Seen: thirty modules before servers of which some come back cold under a burst, in simulated time, each node with its own part of the load. The work at a cold server was beyond N + 2 x root of N + 2 in 21 of 56 plays, by up to 14 requests of mean work.

Cause: a node takes from its own sends what a warm server bears. It counted calls that servers turned away, up to three for a request, so that under a burst the budget of cold servers grew with what nobody bore. Checked beside it: sends to cold servers count as well, while the divisor holds the warm ones alone. A node's first call: random tokens spread it well (with a whole one each, three of the plays break).

--- a/fawngw/decide/outcomes.py
+++ b/fawngw/decide/outcomes.py
@@ -59,6 +59,7 @@
             # a handshake each, and the ejection of full servers pushed over the rest.
             server.ceiling = max(1.0, CEILING_DOWN * min(server.ceiling, len(server.out)))
             self.health.rest(server, FULL_PAUSE * self.fleet.aim)
+            self.fleet.sent.add(-attempt.units, now)  # what is turned away is no load that servers bear
             charge(name, elapsed)
             self.admission.feel(1.0, calls_out)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
--- a/fawngw/parts.py
+++ b/fawngw/parts.py
@@ -197,7 +197,7 @@
     at: float = 0.0
 
     def add(self, units: float, now: float) -> None:
-        """Count units at a time in ms."""
+        """Count units at a time in ms; those below 0 take back what was counted a moment ago."""
         if self.start is None:
             self.start = now
         self.count = self._faded(now) + units
@@ -207,7 +207,8 @@
         """Units a millisecond by now, 0 before the first."""
         if self.start is None:
             return 0.0
-        return self._faded(now) / (self.span * (1.0 - math.exp(-max(now - self.start, 1.0) / self.span)))
+        count = max(0.0, self._faded(now))
+        return count / (self.span * (1.0 - math.exp(-max(now - self.start, 1.0) / self.span)))
 
     def _faded(self, now: float) -> float:
         return self.count * math.exp(-(now - self.at) / self.span) if self.count else 0.0
