Add crowpost lab overhead: what a node adds to a call, direct and through it in turn

Needed: a loss of 10 ms at one call in a hundred went unseen, since no tool of ours measured a node apart from the machine. Stand-in servers and a caller, each one lean process, and real nodes, each on a core of its own; slices of half a second, direct twice and once through each version, in an order drawn anew each round.

--- a/fawngw/lab/live/processes.py
+++ b/fawngw/lab/live/processes.py
@@ -99,6 +99,8 @@
         self.starts = 0
         self.log: deque[str] = deque(maxlen=400)
         self.listener: int | None = None  # a listening socket that every process of it inherits
+        self.command = [sys.executable, "-m", "fawngw"]
+        self.environment: dict[str, str] = {}  # besides this process's own
         self._process: asyncio.subprocess.Process | None = None
         self._ending: list[asyncio.subprocess.Process] = []
         self._reader: asyncio.Task[None] | None = None
@@ -114,6 +116,7 @@
         config.write_text(json.dumps(raw))
         environment = {
             **os.environ,
+            **self.environment,
             "NODE_NAME": self.name,
             "NODE_LISTEN": f"{HOST}:{self.port}",
             "NODE_DISCOVERY": self.discovery,
@@ -129,7 +132,7 @@
             pass_fds = (self.listener,)
         self._listens.clear()
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "fawngw", env=environment, stderr=asyncio.subprocess.PIPE, pass_fds=pass_fds
+            *self.command, env=environment, stderr=asyncio.subprocess.PIPE, pass_fds=pass_fds
         )
         self._reader = asyncio.create_task(self._read(self._process))
         try:
@@ -138,6 +141,17 @@
             raise NodeError(f"{self.name} is not ready after {READY_S:g} s: {self.last_words()}") from None
         self.up = True
 
+    @property
+    def pid(self) -> int:
+        """Of the present process."""
+        assert self._process is not None
+        return self._process.pid
+
+    def ended(self) -> str | None:
+        """How it ended, and its last words; None while it runs."""
+        code = self._process.returncode if self._process is not None else None
+        return None if code is None else f"exit code {code}: {self.last_words()}"
+
     def last_words(self) -> str:
         """The last line of its log."""
         return self.log[-1] if self.log else "it said nothing"
--- /dev/null
+++ b/fawngw/lab/overhead/caller.py
@@ -0,0 +1,227 @@
+"""python -m fawngw.lab.overhead.caller: slices of calls, direct and through nodes, in turn.
+
+One thread on one epoll, since a common client library costs more than the node.  Standard input: a `Plan` as
+one object of JSON; standard output: the slices as JSON.  Times are of the machine's one monotonic clock.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import select
+import socket
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from fawngw.lab.overhead.stand import HOST, request, whole
+
+SPIN_S = 0.0001  # before a request is due: less than a timer is late by
+GIVE_UP_S = 5.0  # after the last request of a slice
+WARM_S = 0.4
+
+
+@dataclass
+class Plan:
+    """What to play: the ways' ports (the first way is direct), and how."""
+
+    ports: list[list[int]]
+    pids: list[list[int]]  # whose processor time is counted, by way
+    arms: list[int]  # the way of each arm; every round plays each arm once
+    open: bool
+    rate: float  # a second, if open
+    callers: int  # if closed
+    slice_s: float
+    rounds: int
+    kind: int
+    seed: int
+    prefix: str  # of all ids, so that no two runs share one
+
+
+@dataclass
+class Slice:
+    """One slice: latencies in ms from when requests were due, and of these the part until a server had them."""
+
+    arm: int
+    round: int
+    seconds: float = 0.0
+    core_ns: int = 0
+    sent: int = 0
+    late_ms: float = 0.0  # by which the latest request left late
+    latency_ms: list[float] = field(default_factory=list)
+    there_ms: list[float] = field(default_factory=list)
+    ends: Counter[str] = field(default_factory=Counter)
+
+
+class Line:
+    """One connection."""
+
+    __slots__ = ("data", "due", "number", "port", "socket")
+
+    def __init__(self, port: int) -> None:
+        self.port, self.data, self.number, self.due = port, b"", b"", 0.0
+        self.socket = socket.create_connection((HOST, port))
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.setblocking(False)
+
+
+def core_ns(pids: list[int]) -> int:
+    """Processor time that processes have taken, in ns; by the scheduler's clock where there is one."""
+    total = 0
+    for pid in pids:
+        try:
+            threads = Path(f"/proc/{pid}/task").iterdir()
+            total += sum(int((thread / "schedstat").read_text().split()[0]) for thread in threads)
+        except OSError:
+            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+            total += (int(fields[11]) + int(fields[12])) * 10_000_000
+    return total
+
+
+class Caller:
+    """All connections, and the slice that is being played."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.random = Random(plan.seed)
+        self.ids = 0
+        self.extra = 0  # bytes that answer nothing, or a second answer
+        self._epoll = select.epoll()
+        self._lines: dict[int, Line] = {}
+        self._idle: dict[int, list[Line]] = {port: [] for ports in plan.ports for port in ports}
+        self._busy = 0
+        self._slice = Slice(0, 0)
+
+    def _send(self, way: int, due: float) -> None:
+        port = self.random.choice(self.plan.ports[way])
+        idle = self._idle[port]
+        if idle:
+            line = idle.pop()
+        else:
+            line = Line(port)
+            self._lines[line.socket.fileno()] = line
+            self._epoll.register(line.socket.fileno(), select.EPOLLIN)
+        self.ids += 1
+        line.number = b"%s%08x00" % (self.plan.prefix.encode(), self.ids)
+        line.due, line.data = due, b""
+        self._busy += 1
+        self._slice.sent += 1
+        line.socket.send(request(line.number, way, self.plan.kind))
+
+    def _hear(self, wait_s: float) -> list[float]:
+        """Take what comes within a time; when each answer had come whole."""
+        ended = []
+        for number, _ in self._epoll.poll(wait_s):
+            line = self._lines[number]
+            try:
+                data = line.socket.recv(65536)
+            except OSError:
+                data = b""
+            at = time.perf_counter()
+            line.data += data
+            size = whole(line.data)
+            if data and line.number and not size:
+                continue
+            if line.number:
+                ended.append(at)
+                self._busy -= 1
+                self._count(line, size, at)
+            elif data:
+                self.extra += 1
+            if not data or size != len(line.data) or not line.number:
+                self._close(line)
+            else:
+                self._idle[line.port].append(line)
+            line.number = b""
+        return ended
+
+    def _count(self, line: Line, size: int, at: float) -> None:
+        head, _, body = line.data[:size].partition(b"\r\n\r\n")
+        if not size:
+            self._slice.ends["unanswered"] += 1
+        elif not head.startswith(b"HTTP/1.1 200"):
+            self._slice.ends[head[9:12].decode(errors="replace")] += 1
+        elif body[:14] != line.number[:14]:
+            self._slice.ends["of another request"] += 1
+        else:
+            self.extra += size != len(line.data)
+            self._slice.ends["served"] += 1
+            self._slice.latency_ms.append(1000.0 * (at - line.due))
+            self._slice.there_ms.append(int(body[17:]) / 1e6 - 1000.0 * line.due)
+
+    def _close(self, line: Line) -> None:
+        self._epoll.unregister(line.socket.fileno())
+        del self._lines[line.socket.fileno()]
+        if line in self._idle[line.port]:
+            self._idle[line.port].remove(line)
+        line.socket.close()
+
+    def _wait(self, due: float) -> None:
+        """Until a request is due, with what comes meanwhile."""
+        while (left := due - time.perf_counter()) > 0.0:
+            if left > SPIN_S:
+                select.select([self._epoll.fileno()], [], [], left - SPIN_S)
+            self._hear(0)
+
+    def _open(self, way: int, began: float, seconds: float) -> None:
+        due = began
+        while (due := due + self.random.expovariate(self.plan.rate)) < began + seconds:
+            self._wait(due)
+            self._slice.late_ms = max(self._slice.late_ms, 1000.0 * (time.perf_counter() - due))
+            self._send(way, due)
+        self._wait(began + seconds)
+
+    def _closed(self, way: int, began: float, seconds: float) -> None:
+        for _ in range(self.plan.callers):
+            self._send(way, time.perf_counter())
+        while (now := time.perf_counter()) < began + seconds and self._busy:
+            for at in self._hear(began + seconds - now):
+                self._send(way, at)
+
+    def play(self, arm: int, number: int, seconds: float) -> Slice:
+        """Play one slice of an arm until all of it is answered or given up."""
+        way = self.plan.arms[arm]
+        self._slice = played = Slice(arm, number)
+        before = core_ns(self.plan.pids[way])
+        began = time.perf_counter()
+        (self._open if self.plan.open else self._closed)(way, began, seconds)
+        end = time.perf_counter() + GIVE_UP_S
+        played.seconds = time.perf_counter() - began
+        while self._busy and (left := end - time.perf_counter()) > 0.0:
+            self._hear(left)
+        for line in [line for line in self._lines.values() if line.number]:
+            played.ends["unanswered"] += 1
+            self._busy -= 1
+            self._close(line)
+        played.core_ns = core_ns(self.plan.pids[way]) - before
+        return played
+
+    def run(self) -> list[Slice]:
+        """All rounds; in each the arms are played in an order drawn anew."""
+        for arm in range(len(self.plan.arms)):
+            self.play(arm, -1, WARM_S)
+        slices = []
+        for number in range(self.plan.rounds):
+            for arm in self.random.sample(range(len(self.plan.arms)), len(self.plan.arms)):
+                slices.append(self.play(arm, number, self.plan.slice_s))
+        self._hear(0)
+        return slices
+
+
+def main() -> None:
+    plan = Plan(**json.load(sys.stdin))
+    caller = Caller(plan)
+    gc.freeze()
+    gc.disable()
+    slices: list[dict[str, Any]] = [
+        {name: getattr(s, name) for name in Slice.__dataclass_fields__} for s in caller.run()
+    ]
+    json.dump({"slices": slices, "extra": caller.extra}, sys.stdout)
+
+
+if __name__ == "__main__":
+    main()
