--- a/fawngw/lab/overhead/caller.py
+++ b/fawngw/lab/overhead/caller.py
@@ -44,7 +44,7 @@
 
 @dataclass
 class Slice:
-    """One slice: latencies in ms from when requests were due, and of these the part until a server had them."""
+    """One slice: latencies in ms from when requests were due, and the part until a server had them."""
 
     arm: int
     round: int
--- a/fawngw/lab/overhead/play.py
+++ b/fawngw/lab/overhead/play.py
@@ -6,6 +6,7 @@
 import io
 import json
 import os
+import signal
 import subprocess
 import sys
 import tarfile
@@ -135,7 +136,7 @@
 
 
 class Cores:
-    """Which core is whose: the caller's, the servers', the nodes' in turn; none is dealt of less than four."""
+    """Which core is whose: the caller's, the servers', the nodes' in turn; none where there are not four."""
 
     def __init__(self) -> None:
         self.all = sorted(os.sched_getaffinity(0))
@@ -323,6 +324,9 @@
 ) -> dict[str, Any]:
     with tempfile.TemporaryDirectory(prefix="crowpost-overhead-") as name:
         folder = Path(name)
+        running = asyncio.current_task()
+        assert running is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)  # no process is left
         versions = [present(), *(unpack(revision, folder) for revision in revisions)]
         played: list[tuple[Case, dict[str, Any]]] = []
         for servers, chain in dict.fromkeys((c.servers, c.chain) for c in cases):
@@ -382,3 +386,5 @@
         return asyncio.run(_play_all(cases, revisions, seconds, kind, seed, say, keep))
     except (NodeError, OSError) as error:
         raise OverheadError(str(error)) from None
+    except asyncio.CancelledError:
+        raise OverheadError("ended by SIGTERM") from None
