--- a/fawngw/lab/overhead/caller.py
+++ b/fawngw/lab/overhead/caller.py
@@ -1,4 +1,8 @@
-"""python -m fawngw.lab.overhead.caller: slices of calls, direct and through nodes, in turn.
+"""python -m fawngw.lab.overhead.caller: calls direct and through nodes, in turn.
+
+Open loops of all arms run at once, request by request: each arm's calls are a Poisson process of its own, at
+the full rate, so that every node has the calls that it would have alone and nothing stands idle between.  Closed
+loops take what there is, so they run one after another, in short slices, in an order drawn anew each round.
 
 One thread on one epoll, since a common client library costs more than the node.  Standard input: a `Plan` as
 one object of JSON; standard output: the slices as JSON.  Times are of the machine's one monotonic clock.
@@ -14,6 +18,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from heapq import heapify, heapreplace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -22,7 +27,7 @@
 
 SPIN_S = 0.0001  # before a request is due: less than a timer is late by
 GIVE_UP_S = 5.0  # after the last request of a slice
-WARM_S = 0.4
+WARM_S = 1.0  # not counted
 
 
 @dataclass
@@ -35,7 +40,7 @@
     open: bool
     rate: float  # a second, if open
     callers: int  # if closed
-    slice_s: float
+    slice_s: float  # of a round in an open loop, of each arm in a round of a closed one
     rounds: int
     kind: int
     seed: int
@@ -44,7 +49,7 @@
 
 @dataclass
 class Slice:
-    """One slice: latencies in ms from when requests were due, and the part until a server had them."""
+    """One arm in one round: latencies in ms from when requests were due, and the part until a server had them."""
 
     arm: int
     round: int
@@ -60,10 +65,11 @@
 class Line:
     """One connection."""
 
-    __slots__ = ("data", "due", "number", "port", "socket")
+    __slots__ = ("data", "due", "number", "port", "slice", "socket")
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, of: Slice) -> None:
         self.port, self.data, self.number, self.due = port, b"", b"", 0.0
+        self.slice = of  # of the present request
         self.socket = socket.create_connection((HOST, port))
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.setblocking(False)
@@ -83,7 +89,7 @@
 
 
 class Caller:
-    """All connections, and the slice that is being played."""
+    """All connections."""
 
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
@@ -94,22 +100,22 @@
         self._lines: dict[int, Line] = {}
         self._idle: dict[int, list[Line]] = {port: [] for ports in plan.ports for port in ports}
         self._busy = 0
-        self._slice = Slice(0, 0)
 
-    def _send(self, way: int, due: float) -> None:
+    def _send(self, of: Slice, due: float) -> None:
+        way = self.plan.arms[of.arm]
         port = self.random.choice(self.plan.ports[way])
         idle = self._idle[port]
         if idle:
             line = idle.pop()
         else:
-            line = Line(port)
+            line = Line(port, of)
             self._lines[line.socket.fileno()] = line
             self._epoll.register(line.socket.fileno(), select.EPOLLIN)
         self.ids += 1
         line.number = b"%s%08x00" % (self.plan.prefix.encode(), self.ids)
-        line.due, line.data = due, b""
+        line.due, line.data, line.slice = due, b"", of
         self._busy += 1
-        self._slice.sent += 1
+        of.sent += 1
         line.socket.send(request(line.number, way, self.plan.kind))
 
     def _hear(self, wait_s: float) -> list[float]:
@@ -142,16 +148,16 @@
     def _count(self, line: Line, size: int, at: float) -> None:
         head, _, body = line.data[:size].partition(b"\r\n\r\n")
         if not size:
-            self._slice.ends["unanswered"] += 1
+            line.slice.ends["unanswered"] += 1
         elif not head.startswith(b"HTTP/1.1 200"):
-            self._slice.ends[head[9:12].decode(errors="replace")] += 1
+            line.slice.ends[head[9:12].decode(errors="replace")] += 1
         elif body[:14] != line.number[:14]:
-            self._slice.ends["of another request"] += 1
+            line.slice.ends["of another request"] += 1
         else:
             self.extra += size != len(line.data)
-            self._slice.ends["served"] += 1
-            self._slice.latency_ms.append(1000.0 * (at - line.due))
-            self._slice.there_ms.append(int(body[17:]) / 1e6 - 1000.0 * line.due)
+            line.slice.ends["served"] += 1
+            line.slice.latency_ms.append(1000.0 * (at - line.due))
+            line.slice.there_ms.append(int(body[17:]) / 1e6 - 1000.0 * line.due)
 
     def _close(self, line: Line) -> None:
         self._epoll.unregister(line.socket.fileno())
@@ -167,49 +173,67 @@
                 select.select([self._epoll.fileno()], [], [], left - SPIN_S)
             self._hear(0)
 
-    def _open(self, way: int, began: float, seconds: float) -> None:
-        due = began
-        while (due := due + self.random.expovariate(self.plan.rate)) < began + seconds:
-            self._wait(due)
-            self._slice.late_ms = max(self._slice.late_ms, 1000.0 * (time.perf_counter() - due))
-            self._send(way, due)
-        self._wait(began + seconds)
-
-    def _closed(self, way: int, began: float, seconds: float) -> None:
+    def open_loop(self) -> list[Slice]:
+        """All arms at once, each at the full rate; a request counts for the round in which it is due."""
+        plan, arms = self.plan, range(len(self.plan.arms))
+        warm = round(WARM_S / plan.slice_s)
+        rounds = [[Slice(arm, number, plan.slice_s) for arm in arms] for number in range(-warm, plan.rounds)]
+        began = time.perf_counter() + 0.01
+        due = [(began + self.random.expovariate(plan.rate), arm) for arm in arms]
+        heapify(due)
+        end = began + len(rounds) * plan.slice_s
+        counted, before = False, [0] * len(arms)
+        while (first := due[0])[0] < end:
+            at, arm = first
+            number = min(int((at - began) / plan.slice_s), len(rounds) - 1)
+            if not counted and number >= warm:
+                counted, before = True, [core_ns(plan.pids[way]) for way in plan.arms]
+            self._wait(at)
+            of = rounds[number][arm]
+            of.late_ms = max(of.late_ms, 1000.0 * (time.perf_counter() - at))
+            self._send(of, at)
+            heapreplace(due, (at + self.random.expovariate(plan.rate), arm))
+        self._wait(end)
+        self._finish()
+        for arm in arms:
+            rounds[-1][arm].core_ns = core_ns(plan.pids[plan.arms[arm]]) - before[arm]
+        return [of for each in rounds[warm:] for of in each]
+
+    def _closed(self, arm: int, number: int, seconds: float) -> Slice:
+        """One slice: each caller calls again as soon as it has its answer."""
+        of = Slice(arm, number)
+        pids = self.plan.pids[self.plan.arms[arm]]
+        before, began = core_ns(pids), time.perf_counter()
         for _ in range(self.plan.callers):
-            self._send(way, time.perf_counter())
+            self._send(of, time.perf_counter())
         while (now := time.perf_counter()) < began + seconds and self._busy:
             for at in self._hear(began + seconds - now):
-                self._send(way, at)
-
-    def play(self, arm: int, number: int, seconds: float) -> Slice:
-        """Play one slice of an arm until all of it is answered or given up."""
-        way = self.plan.arms[arm]
-        self._slice = played = Slice(arm, number)
-        before = core_ns(self.plan.pids[way])
-        began = time.perf_counter()
-        (self._open if self.plan.open else self._closed)(way, began, seconds)
+                self._send(of, at)
+        self._finish()
+        of.seconds, of.core_ns = time.perf_counter() - began, core_ns(pids) - before
+        return of
+
+    def closed_loop(self) -> list[Slice]:
+        """The arms one after another, in each round in an order drawn anew."""
+        arms = range(len(self.plan.arms))
+        for arm in arms:
+            self._closed(arm, -1, WARM_S)
+        return [
+            self._closed(arm, number, self.plan.slice_s)
+            for number in range(self.plan.rounds)
+            for arm in self.random.sample(arms, len(arms))
+        ]
+
+    def _finish(self) -> None:
+        """Wait for what is still out; what has no answer after a time never will have."""
         end = time.perf_counter() + GIVE_UP_S
-        played.seconds = time.perf_counter() - began
         while self._busy and (left := end - time.perf_counter()) > 0.0:
             self._hear(left)
         for line in [line for line in self._lines.values() if line.number]:
-            played.ends["unanswered"] += 1
+            line.slice.ends["unanswered"] += 1
             self._busy -= 1
             self._close(line)
-        played.core_ns = core_ns(self.plan.pids[way]) - before
-        return played
-
-    def run(self) -> list[Slice]:
-        """All rounds; in each the arms are played in an order drawn anew."""
-        for arm in range(len(self.plan.arms)):
-            self.play(arm, -1, WARM_S)
-        slices = []
-        for number in range(self.plan.rounds):
-            for arm in self.random.sample(range(len(self.plan.arms)), len(self.plan.arms)):
-                slices.append(self.play(arm, number, self.plan.slice_s))
         self._hear(0)
-        return slices
 
 
 def main() -> None:
@@ -218,7 +242,8 @@
     gc.freeze()
     gc.disable()
     slices: list[dict[str, Any]] = [
-        {name: getattr(s, name) for name in Slice.__dataclass_fields__} for s in caller.run()
+        {name: getattr(s, name) for name in Slice.__dataclass_fields__}
+        for s in (caller.open_loop() if plan.open else caller.closed_loop())
     ]
     json.dump({"slices": slices, "extra": caller.extra}, sys.stdout)
 
--- a/fawngw/lab/overhead/play.py
+++ b/fawngw/lab/overhead/play.py
@@ -26,7 +26,8 @@
 
 NOW = "now"
 ROOT = Path(__file__).parent  # of the checkout whose revisions are played
-SLICE_S = 0.5
+SLICE_S = 0.5  # of a closed loop
+ROUND_S = 1.0  # of an open one
 STARTS_S = 20.0
 ENDS_S = 5.0
 SLACK_S = 30.0  # beyond the time that a caller's slices take
@@ -270,7 +271,8 @@
     async def play(self, case: Case, seconds: float, kind: int, seed: int) -> dict[str, Any]:
         """One case: its slices, and how many answers came that nobody had asked for."""
         self._cases += 1
-        rounds = max(2, round(seconds / SLICE_S))
+        span = ROUND_S if case.rate else SLICE_S
+        rounds = max(2, round(seconds / span))
         arms = [0, 0, *range(1, 1 + len(self.versions))]
         plan = Plan(
             ports=[self.front, *([nodes[0].port] for nodes in self.nodes)],
@@ -279,7 +281,7 @@
             open=case.rate > 0.0,
             rate=case.rate,
             callers=case.callers,
-            slice_s=SLICE_S,
+            slice_s=span,
             rounds=rounds,
             kind=kind,
             seed=seed,
@@ -289,7 +291,7 @@
         pid = await caller.start()
         try:
             self.cores.pin(pid, 0)
-            within = (rounds + 1) * len(arms) * SLICE_S + SLACK_S
+            within = (rounds + 2) * len(arms) * span + SLACK_S
             found: dict[str, Any] = await caller.ask(asdict(plan), within, end=True)
         finally:
             await caller.stop()
--- a/fawngw/lab/overhead/stand.py
+++ b/fawngw/lab/overhead/stand.py
@@ -2,8 +2,8 @@
 
 The servers of the last tier answer at once; those of the tiers before pass a request on, straight to a server
 of the next tier or through that tier's node.  Which way is told by the query (`/api?w=0` is direct), since a
-node passes that on unchanged.  Standard input: a line of JSON with the numbers of tiers and of servers each, answered
-by the ports; then a line with the nodes' ports by way and tier.  It ends with its input.
+node passes that on unchanged.  Standard input: a line of JSON with the numbers of tiers and of servers each,
+answered by the ports; then one with the nodes' ports by way and tier.  It ends with its input.
 """
 
 from __future__ import annotations
