--- a/fawngw/lab/overhead/caller.py
+++ b/fawngw/lab/overhead/caller.py
@@ -1,7 +1,7 @@
 """python -m fawngw.lab.overhead.caller: calls direct and through nodes, in turn.
 
-Open loops of all arms run at once, request by request: each arm's calls are a Poisson process of its own, at
-the full rate, so that every node has the calls that it would have alone and nothing stands idle between.  Closed
+Open loops of all arms run at once, request by request: each arm's calls are a Poisson process of its own at
+the full rate, so that every node has the calls that it would have alone, and stands idle no longer.  Closed
 loops take what there is, so they run one after another, in short slices, in an order drawn anew each round.
 
 One thread on one epoll, since a common client library costs more than the node.  Standard input: a `Plan` as
@@ -49,7 +49,7 @@
 
 @dataclass
 class Slice:
-    """One arm in one round: latencies in ms from when requests were due, and the part until a server had them."""
+    """One arm in one round; latencies in ms from when requests were due, and their part on the way there."""
 
     arm: int
     round: int
