--- a/fawngw/cli/overhead.py
+++ b/fawngw/cli/overhead.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from pathlib import Path
 from typing import Annotated, Any
 
 import typer
@@ -14,7 +15,7 @@
 EFFECTS = ("safe", "keyed", "unsafe")
 
 
-def numbers(text: str, what: str, least: float, most: float) -> list[float]:
+def numbers(text: str, what: str, least: float, most: float, *, whole: bool = False) -> list[float]:
     """Numbers with commas between; typer.Exit with code 2 and one line for anything else."""
     found = []
     for part in text.split(",") if text.strip() else []:
@@ -22,8 +23,9 @@
             value = float(part)
         except ValueError:
             value = -1.0
-        if not least <= value <= most:
-            unusable(f"{what}: {part.strip()!r} is no number from {least:g} to {most:g}")
+        if not least <= value <= most or (whole and value != int(value)):
+            kind = "whole number" if whole else "number"
+            unusable(f"{what}: {part.strip()!r} is no {kind} from {least:g} to {most:g}")
         found.append(value)
     return found
 
@@ -42,37 +44,60 @@
     callers: Annotated[str, typer.Option(help="callers of closed loops, with commas; '' for none")] = "4",
     chains: Annotated[str, typer.Option(help="how many tiers with a node each, with commas")] = "1",
     against: Annotated[str, typer.Option(help="git revisions to play in turn, with commas")] = "",
-    seconds: Annotated[float, typer.Option(min=1.0, max=600.0, help="of each arm of each case")] = 20.0,
+    seconds: Annotated[float, typer.Option(help="of each arm of each case")] = 20.0,
     effect: Annotated[str, typer.Option(help="of the calls: safe, keyed or unsafe")] = "safe",
     seed: Annotated[int, typer.Option(min=0)] = 1,
+    profile: Annotated[
+        bool, typer.Option("--profile", help="run nodes under a profiler: where their time goes; slower")
+    ] = False,
+    folder: Annotated[
+        Path | None, typer.Option("--out", help="keep the record and a page with plots here")
+    ] = None,
     as_json: Annotated[bool, typer.Option("--json", help="print JSON")] = False,
 ) -> None:
     """What a node adds to a call: direct calls and calls through nodes, in turn within one run.
 
+    Exit code 1 if any call had no answer of its own.
+
     Example: crowpost lab overhead --servers 10 --rates 41 --against HEAD~3
     """
-    from fawngw.lab.overhead.play import Case, OverheadError, play
+    from fawngw.lab.overhead.platform import Case
+    from fawngw.lab.overhead.play import How, play
+    from fawngw.lab.overhead.versions import OverheadError
 
     if effect not in EFFECTS:
         unusable(f"--effect: {effect!r} is none of {', '.join(EFFECTS)}")
-    sizes = [int(n) for n in numbers(servers, "--servers", 1, 1000)]
-    depths = [int(n) for n in numbers(chains, "--chains", 1, 25)]
+    if not 1.0 <= seconds <= 600.0:
+        unusable(f"--seconds: {seconds:g} is not from 1 to 600")
+    sizes = [int(n) for n in numbers(servers, "--servers", 1, 1000, whole=True)]
+    depths = [int(n) for n in numbers(chains, "--chains", 1, 25, whole=True)]
     loops = [(rate, 0) for rate in numbers(rates, "--rates", 0.1, 5000)]
-    loops += [(0.0, int(n)) for n in numbers(callers, "--callers", 1, 100)]
+    loops += [(0.0, int(n)) for n in numbers(callers, "--callers", 1, 100, whole=True)]
     if not sizes or not depths or not loops:
         unusable("--servers, --chains, and --rates or --callers must name something")
     cases = [Case(size, depth, *loop) for size in sizes for depth in depths for loop in loops]
     revisions = [name.strip() for name in against.split(",") if name.strip()]
     err = console(stderr=True)
+    slices: list[list[dict[str, Any]]] = []
     try:
-        record = play(cases, revisions, seconds=seconds, kind=EFFECTS.index(effect), seed=seed, say=err.print)
+        record = play(
+            cases,
+            revisions,
+            How(seconds, EFFECTS.index(effect), seed, profile),
+            say=err.print,
+            keep=lambda run, found: slices.append(found["slices"]),
+        )
     except OverheadError as error:
         unusable(str(error))
         return
+    if folder is not None:
+        _keep(folder, record, slices)
     if as_json:
         print(json.dumps(record))
     else:
         console().print(_table(record["runs"]))
+        if profile:
+            console().print(_profiles(record["profiles"]))
     if any(run["extra"] or set(run["ends"]) != {"served"} for run in record["runs"]):
         for run in record["runs"]:
             print(f"{run['version']}: ends {run['ends']}, {run['extra']} answers too many", file=sys.stderr)
@@ -80,31 +105,38 @@
 
 
 def _table(runs: list[dict[str, Any]]) -> Table:
-    heads = ("version", "servers", "chain", "loop", "requests", "direct p50", "p99", "through p50", "p99")
-    more = ("added p50", "p90", "p99", "95%", "p99.9 ms", "machine p50", "p99", "core us", "calls/s")
-    table = Table(*heads, *more, box=None)
-
-    def ms(value: float | None) -> str:
-        return "-" if value is None else f"{value:.2f}"
+    from fawngw.lab.overhead.report import HEADS, row
 
+    table = Table(*HEADS, box=None)
     for run in runs:
-        span = run["added_95"]["p99_ms"]
-        table.add_row(
-            run["version"],
-            str(run["servers"]),
-            str(run["chain"]),
-            f"{run['rate']:g}/s" if run["rate"] else f"{run['callers']} callers",
-            str(run["requests"]),
-            ms(run["direct"]["p50_ms"]),
-            ms(run["direct"]["p99_ms"]),
-            ms(run["through"]["p50_ms"]),
-            ms(run["through"]["p99_ms"]),
-            *(ms(run["added"][name]) for name in ("p50_ms", "p90_ms", "p99_ms")),
-            "-" if span is None else f"[{span[0]:.2f}, {span[1]:.2f}]",
-            ms(run["added"]["p999_ms"]),
-            ms(run["machine_moves"]["p50_ms"]),
-            ms(run["machine_moves"]["p99_ms"]),
-            "-" if run["core_us_per_request"] is None else f"{run['core_us_per_request']:.0f}",
-            f"{run['requests_per_s']:.0f}",
-        )
+        table.add_row(*row(run))
     return table
+
+
+def _profiles(profiles: list[dict[str, Any]]) -> Table:
+    table = Table(
+        "version", "servers", "chain", "profiled calls", "share", "cause", "calls a request", box=None
+    )
+    for profile in profiles:
+        for part in profile["parts"]:
+            table.add_row(
+                profile["version"],
+                str(profile["servers"]),
+                str(profile["chain"]),
+                str(profile["requests"]),
+                f"{part['share']:.1%}",
+                part["cause"],
+                f"{part['calls_per_request']:g}",
+            )
+    return table
+
+
+def _keep(folder: Path, record: dict[str, Any], slices: list[list[dict[str, Any]]]) -> None:
+    from fawngw.lab.overhead.report import page
+
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "overhead.json").write_text(json.dumps(record, indent=1) + "\n", encoding="utf-8")
+        (folder / "overhead.html").write_text(page(record, slices), encoding="utf-8")
+    except OSError as error:
+        unusable(f"--out: {folder}: {error.strerror}")
--- a/fawngw/lab/overhead/caller.py
+++ b/fawngw/lab/overhead/caller.py
@@ -95,6 +95,7 @@
         self.plan = plan
         self.random = Random(plan.seed)
         self.ids = 0
+        self.sent = [0] * len(plan.arms)  # with those that are not counted
         self.extra = 0  # bytes that answer nothing, or a second answer
         self._epoll = select.epoll()
         self._lines: dict[int, Line] = {}
@@ -116,6 +117,7 @@
         line.due, line.data, line.slice = due, b"", of
         self._busy += 1
         of.sent += 1
+        self.sent[of.arm] += 1
         line.socket.send(request(line.number, way, self.plan.kind))
 
     def _hear(self, wait_s: float) -> list[float]:
@@ -245,7 +247,7 @@
         {name: getattr(s, name) for name in Slice.__dataclass_fields__}
         for s in (caller.open_loop() if plan.open else caller.closed_loop())
     ]
-    json.dump({"slices": slices, "extra": caller.extra}, sys.stdout)
+    json.dump({"slices": slices, "sent": caller.sent, "extra": caller.extra}, sys.stdout)
 
 
 if __name__ == "__main__":
--- a/fawngw/lab/overhead/play.py
+++ b/fawngw/lab/overhead/play.py
@@ -1,346 +1,61 @@
-"""One run: stand-in servers, nodes of each version, and a caller, each on cores of their own."""
+"""One run: cases in order, each with all versions, and the record of it."""
 
 from __future__ import annotations
 
 import asyncio
-import io
-import json
 import os
 import signal
-import subprocess
-import sys
-import tarfile
 import tempfile
 import time
 from collections.abc import Callable, Sequence
-from contextlib import AsyncExitStack
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from fawngw.lab.live.processes import NodeError, NodeProcess
-from fawngw.lab.live.stand import HOST, Books, LiveDiscovery
-from fawngw.lab.overhead.caller import Plan
+from fawngw.lab.live.processes import NodeError
 from fawngw.lab.overhead.figures import summary
+from fawngw.lab.overhead.platform import Case, Platform
 from fawngw.lab.overhead.stand import CLASSES
-
-NOW = "now"
-ROOT = Path(__file__).parent  # of the checkout whose revisions are played
-SLICE_S = 0.5  # of a closed loop
-ROUND_S = 1.0  # of an open one
-STARTS_S = 20.0
-ENDS_S = 5.0
-SLACK_S = 30.0  # beyond the time that a caller's slices take
-LIST_IDLE_S = 30.0
-
-
-class OverheadError(Exception):
-    """What cannot be played; one line."""
+from fawngw.lab.overhead.versions import OverheadError, Version, present, unpack
 
 
 @dataclass(frozen=True, slots=True)
-class Case:
-    """One thing to measure."""
-
-    servers: int  # of each tier
-    chain: int  # tiers, each behind a node
-    rate: float = 0.0  # a second, of an open loop; 0: closed
-    callers: int = 0  # of a closed loop
-
-
-@dataclass(frozen=True, slots=True)
-class Version:
-    """A version of the node: the present one, or a revision unpacked into a folder."""
-
-    name: str
-    commit: str
-    folder: Path | None = None
-
-
-def _git(*arguments: str) -> bytes:
-    try:
-        done = subprocess.run(["git", *arguments], cwd=ROOT, capture_output=True, check=True)
-    except FileNotFoundError:
-        raise OverheadError("git is not installed") from None
-    except subprocess.CalledProcessError as error:
-        raise OverheadError(f"git: {' '.join(error.stderr.decode().split())}") from None
-    return done.stdout
-
-
-def present() -> Version:
-    """The present version, with its commit where it stands in a checkout."""
-    try:
-        commit = _git("rev-parse", "--short=12", "HEAD").decode().strip()
-        changed = _git("status", "--porcelain", "--untracked-files=no", ".", "../../..").strip()
-    except OverheadError:
-        return Version(NOW, "unknown")
-    return Version(NOW, f"{commit}+changes" if changed else commit)
-
-
-def unpack(revision: str, folder: Path) -> Version:
-    """The package of a git revision; OverheadError if there is none by that name."""
-    top = _git("rev-parse", "--show-toplevel").decode().strip()
-    commit = _git("rev-parse", "--verify", "--end-of-options", f"{revision}^{{commit}}").decode().strip()
-    packed = _git("-C", top, "archive", "--format=tar", commit, "fawngw")
-    target = folder / commit[:12]
-    with tarfile.open(fileobj=io.BytesIO(packed)) as archive:
-        archive.extractall(target, filter="data")
-    return Version(revision, commit[:12], target)
-
-
-def settings() -> dict[str, Any]:
-    """A node's settings: plain ones, with second copies and cancelling allowed, no probes and no reports."""
-    return {
-        "azs": ["zone-0"],
-        "locality": 0,
-        "balancers": 1,
-        "ordinal": 0,
-        "stage": 0,
-        "layers": ["front"],
-        "models": ["m"],
-        "registryMode": "pushed",
-        "tickMs": 1.0,
-        "weights": "off",
-        "guarantees": {
-            "answerSlackMs": 500.0,
-            "coldMs": 10_000.0,
-            "startCapacity": 0.3,
-            "stopSendingWithinMs": 250.0,
-            "fallMultiple": 4.0,
-            "overloadForMs": 3000.0,
-            "mustAskInMs": 10_000.0,
-        },
-        "policyLimits": {
-            "cancel": True,
-            "connIdleMs": 1000.0 * LIST_IDLE_S,
-            "connectTimeoutMs": 250.0,
-            "maxRetryAfterMs": 2000.0,
-            "mayDuplicate": True,
-            "probes": False,
-            "retryAfter": True,
-            "tryLimit": 3,
-        },
-        "profiles": [
-            {
-                "name": name,
-                "aimMs": 5000.0,
-                "deadlineMs": 20_000.0,
-                "worth": 1.0,
-                "effect": name,
-                "group": "all",
-                "windowMs": 60_000.0,
-            }
-            for name in CLASSES
-        ],
-        "tenants": [{"name": "all", "fraction": 1.0, "quotaPerS": 1e6}],
-    }
-
+class How:
+    """How all cases are played."""
 
-class Cores:
-    """Which core is whose: the caller's, the servers', the nodes' in turn; none where there are not four."""
-
-    def __init__(self) -> None:
-        self.all = sorted(os.sched_getaffinity(0))
-        self._turn = 0
-
-    def pin(self, pid: int, place: int | None = None) -> None:
-        """Give one of our processes a core: by place from the last, or the next of the nodes'."""
-        if len(self.all) < 4:
-            return
-        if place is None:
-            place = 2 + self._turn % (len(self.all) - 2)
-            self._turn += 1
-        os.sched_setaffinity(pid, {self.all[-1 - place]})
-
-
-class Helper:
-    """One of the lab's own processes, spoken to in lines of JSON."""
-
-    def __init__(self, module: str) -> None:
-        self._module = module
-        self._process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> int:
-        """Start it; its process id."""
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            f"fawngw.lab.overhead.{self._module}",
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
-            limit=2**28,
-        )
-        return self._process.pid
-
-    async def ask(self, value: Any, within_s: float, *, end: bool = False) -> Any:
-        """Write a line and read one; OverheadError if none comes in time."""
-        process = self._process
-        assert process is not None and process.stdin is not None and process.stdout is not None
-        try:
-            process.stdin.write(json.dumps(value).encode() + b"\n")
-            if end:
-                process.stdin.close()
-            line = await asyncio.wait_for(process.stdout.readline(), within_s)
-            return json.loads(line)
-        except (TimeoutError, OSError, ValueError):
-            raise OverheadError(f"the {self._module} says nothing: {await self._last_words()}") from None
-
-    async def _last_words(self) -> str:
-        assert self._process is not None and self._process.stderr is not None
-        if self._process.returncode is None:
-            self._process.kill()
-        text = (await self._process.stderr.read()).decode(errors="replace").strip()
-        return text.splitlines()[-1] if text else "and left no word"
-
-    async def stop(self) -> Any:
-        """End it by the end of its input, else by its id; its last line."""
-        process = self._process
-        if process is None or process.stdin is None or process.stdout is None:
-            return None
-        process.stdin.close()
-        try:
-            line = await asyncio.wait_for(process.stdout.readline(), ENDS_S)
-            await asyncio.wait_for(process.wait(), ENDS_S)
-        except TimeoutError:
-            line = b""
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
-        return json.loads(line) if line else None
-
-
-class Platform:
-    """The servers of all tiers and, for each version, a node before each tier."""
-
-    def __init__(
-        self, folder: Path, servers: int, chain: int, versions: Sequence[Version], seed: int
-    ) -> None:
-        self.folder, self.servers, self.chain, self.versions, self.seed = (
-            folder,
-            servers,
-            chain,
-            versions,
-            seed,
-        )
-        self.cores = Cores()
-        self.stand = Helper("stand")
-        self.front: list[int] = []  # the ports of the first tier's servers
-        self.nodes: list[list[NodeProcess]] = []  # by version and tier
-        self._stack = AsyncExitStack()
-        self._cases = 0
-
-    async def __aenter__(self) -> Platform:
-        try:
-            await self._start()
-        except BaseException:
-            await self._stack.aclose()
-            raise
-        return self
-
-    async def __aexit__(self, *of: object) -> None:
-        await self._stack.aclose()
-
-    async def _start(self) -> None:
-        pid = await self.stand.start()
-        self._stack.push_async_callback(self.stand.stop)
-        self.cores.pin(pid, 1)
-        ports = await self.stand.ask({"tiers": self.chain, "servers": self.servers}, STARTS_S)
-        self.front = ports[0]
-        discoveries = []
-        for tier in ports:
-            discovery = LiveDiscovery(Books())
-            await discovery.start([_row(i, port) for i, port in enumerate(tier)])
-            self._stack.push_async_callback(discovery.stop)
-            discoveries.append(discovery)
-        for version in self.versions:
-            self.nodes.append(nodes := [])
-            for tier, discovery in enumerate(discoveries):
-                name = f"{version.commit.split('+')[0]}-{version.name == NOW:d}-{tier}"
-                node = NodeProcess(
-                    name, self.folder, settings(), discovery.address, discovery.listing(), self.seed
-                )
-                if version.folder is not None:
-                    node.environment = {"PYTHONPATH": str(version.folder), "PYTHONSAFEPATH": "1"}
-                self._stack.push_async_callback(node.kill)
-                await node.start()
-                self.cores.pin(node.pid)
-                nodes.append(node)
-        await self.stand.ask([[], *([node.port for node in nodes] for nodes in self.nodes)], STARTS_S)
-
-    async def play(self, case: Case, seconds: float, kind: int, seed: int) -> dict[str, Any]:
-        """One case: its slices, and how many answers came that nobody had asked for."""
-        self._cases += 1
-        span = ROUND_S if case.rate else SLICE_S
-        rounds = max(2, round(seconds / span))
-        arms = [0, 0, *range(1, 1 + len(self.versions))]
-        plan = Plan(
-            ports=[self.front, *([nodes[0].port] for nodes in self.nodes)],
-            pids=[[], *([node.pid for node in nodes] for nodes in self.nodes)],
-            arms=arms,
-            open=case.rate > 0.0,
-            rate=case.rate,
-            callers=case.callers,
-            slice_s=span,
-            rounds=rounds,
-            kind=kind,
-            seed=seed,
-            prefix=f"{self._cases:06x}",
-        )
-        caller = Helper("caller")
-        pid = await caller.start()
-        try:
-            self.cores.pin(pid, 0)
-            within = (rounds + 2) * len(arms) * span + SLACK_S
-            found: dict[str, Any] = await caller.ask(asdict(plan), within, end=True)
-        finally:
-            await caller.stop()
-        for nodes in self.nodes:
-            for node in nodes:
-                if (words := node.ended()) is not None:
-                    raise OverheadError(f"node {node.name} ended: {words}")
-        return found
-
-
-def _row(index: int, port: int) -> dict[str, Any]:
-    return {
-        "instanceId": f"s-{index}",
-        "hostPort": f"{HOST}:{port}",
-        "zone": "zone-0",
-        "machineType": "m",
-        "cell": index // 4,
-        "lifecycle": "SERVING",
-        "weight": 1.0,
-        "startedAtMs": 0,
-    }
+    seconds: float = 20.0  # of each arm of each case
+    kind: int = 0  # of the calls, in CLASSES
+    seed: int = 1
+    profiled: bool = False
 
 
 async def _play_all(
     cases: Sequence[Case],
     revisions: Sequence[str],
-    seconds: float,
-    kind: int,
-    seed: int,
+    how: How,
     say: Callable[[str], None],
     keep: Callable[[dict[str, Any], dict[str, Any]], None],
 ) -> dict[str, Any]:
+    running = asyncio.current_task()
+    assert running is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)  # no process is left
+    played: list[tuple[Case, dict[str, Any]]] = []
+    profiles: list[dict[str, Any]] = []
     with tempfile.TemporaryDirectory(prefix="crowpost-overhead-") as name:
         folder = Path(name)
-        running = asyncio.current_task()
-        assert running is not None
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)  # no process is left
         versions = [present(), *(unpack(revision, folder) for revision in revisions)]
-        played: list[tuple[Case, dict[str, Any]]] = []
         for servers, chain in dict.fromkeys((c.servers, c.chain) for c in cases):
-            async with Platform(folder, servers, chain, versions, seed) as platform:
+            async with Platform(folder, servers, chain, versions, how.seed, how.profiled) as platform:
                 for case in (c for c in cases if (c.servers, c.chain) == (servers, chain)):
                     say(f"{servers} servers, chain of {chain}, {_loop(case)}")
-                    played.append((case, await platform.play(case, seconds, kind, seed)))
+                    played.append((case, await platform.play(case, how.seconds, how.kind, how.seed)))
+                if how.profiled:
+                    profiles += await platform.profiles()
     # Only now: while nodes run, this process is their discovery and must not stand still.
     runs = []
     for case, found in played:
         for i, version in enumerate(versions):
-            run = _run(case, version, found, 2 + i, seed)
+            run = _run(case, version, found, 2 + i, how.seed)
             runs.append(run)
             keep(run, found)
     return {
@@ -348,10 +63,12 @@
         "revision": versions[0].commit,
         "at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
         "cores": len(os.sched_getaffinity(0)),
-        "seed": seed,
-        "seconds": seconds,
-        "effect": CLASSES[kind],
+        "seed": how.seed,
+        "seconds": how.seconds,
+        "effect": CLASSES[how.kind],
+        "profiled": how.profiled,
         "runs": runs,
+        "profiles": profiles,
     }
 
 
@@ -376,16 +93,16 @@
 def play(
     cases: Sequence[Case],
     revisions: Sequence[str] = (),
-    *,
-    seconds: float = 20.0,
-    kind: int = 0,
-    seed: int = 1,
+    how: How | None = None,
     say: Callable[[str], None] = lambda text: None,
     keep: Callable[[dict[str, Any], dict[str, Any]], None] = lambda run, found: None,
 ) -> dict[str, Any]:
-    """The record of all cases, for so many seconds of each arm; OverheadError for what cannot be played."""
+    """The record of all cases, through the present version and revisions; `keep` gets runs and their slices.
+
+    OverheadError for what cannot be played.
+    """
     try:
-        return asyncio.run(_play_all(cases, revisions, seconds, kind, seed, say, keep))
+        return asyncio.run(_play_all(cases, revisions, how or How(), say, keep))
     except (NodeError, OSError) as error:
         raise OverheadError(str(error)) from None
     except asyncio.CancelledError:
