--- a/fawngw/cli/overhead.py
+++ b/fawngw/cli/overhead.py
@@ -114,9 +114,7 @@
 
 
 def _profiles(profiles: list[dict[str, Any]]) -> Table:
-    table = Table(
-        "version", "servers", "chain", "profiled calls", "share", "cause", "calls a request", box=None
-    )
+    table = Table("version", "servers", "chain", "calls", "share", "cause", "function calls a call", box=None)
     for profile in profiles:
         for part in profile["parts"]:
             table.add_row(
--- a/fawngw/lab/overhead/platform.py
+++ b/fawngw/lab/overhead/platform.py
@@ -15,7 +15,7 @@
 from fawngw.lab.live.processes import NodeProcess
 from fawngw.lab.live.stand import HOST, Books, LiveDiscovery
 from fawngw.lab.overhead import profile
-from fawngw.lab.overhead.caller import Plan, core_ns
+from fawngw.lab.overhead.caller import Plan
 from fawngw.lab.overhead.stand import CLASSES
 from fawngw.lab.overhead.versions import NOW, OverheadError, Version
 
@@ -176,7 +176,6 @@
         self.versions, self.seed = versions, seed
         self.profiled = profiled
         self.requests = [0] * len(versions)  # that went through each version
-        self._core_ns = [0] * len(versions)  # that its nodes had taken before them
         self.cores = Cores()
         self.stand = Helper("stand")
         self.front: list[int] = []  # the ports of the first tier's servers
@@ -222,7 +221,6 @@
                 await node.start()
                 self.cores.pin(node.pid)
                 nodes.append(node)
-        self._core_ns = [core_ns([node.pid for node in nodes]) for nodes in self.nodes]
         await self.stand.ask([[], *([node.port for node in nodes] for nodes in self.nodes)], STARTS_S)
 
     async def play(self, case: Case, seconds: float, kind: int, seed: int) -> dict[str, Any]:
@@ -263,7 +261,6 @@
     async def profiles(self) -> list[dict[str, Any]]:
         """End the nodes; where the time of each version's went."""
         nodes = [node for mine in self.nodes for node in mine]
-        took = [core_ns([node.pid for node in mine]) for mine in self.nodes]
         await asyncio.gather(*(node.terminate(PROFILED_ENDS_S) for node in nodes))
         return [
             {
@@ -274,7 +271,6 @@
                 "parts": profile.by_cause(
                     [self.folder / f"{node.name}.profile" for node in self.nodes[i]],
                     self.requests[i],
-                    (took[i] - self._core_ns[i]) / 1e9,
                 ),
             }
             for i, version in enumerate(self.versions)
--- a/fawngw/lab/overhead/profile.py
+++ b/fawngw/lab/overhead/profile.py
@@ -1,7 +1,7 @@
 """Where a node's processor time goes by cause: the same run under Python's own profiler.
 
-The profiler itself costs as much again, so that these are shares, not times.  What it does not see is the event
-loop and the kernel below it: the rest of the processor time that the nodes took.
+The profiler itself costs as much again, so that these are shares, not times.  It does not see into the event
+loop: reading, accepting and timers show as one row, and a write as part of what called it.
 """
 
 from __future__ import annotations
@@ -26,27 +26,27 @@
     "fawngw/node/metrics.py": "metrics",
 }
 BELOW = "event loop and kernel"
-WAITS = ("uvloop/__init__.py", "asyncio/runners.py")  # their own time is what the loop waits and does itself
-STARTS = (
-    "importlib",
-    "marshal",
-    "posix.stat",
-    "io.open",
-    "io.BufferedReader",
-    "compile",
-    "exec",
-    "_build_class",
-)
+LOOP = ("uvloop/__init__.py", "asyncio/runners.py")  # what they call is not seen, so it counts as their own
+STARTS = ("importlib", "marshal", "posix.stat", "io.open", "io.Buffered", "compile", "exec", "build_class")
+RUN = """import cProfile, runpy, sys, time
+profile = cProfile.Profile(time.process_time)
+try:
+    profile.runcall(runpy.run_module, "fawngw", run_name="__main__", alter_sys=True)
+finally:
+    profile.dump_stats(sys.argv[1])
+"""
 
 
 def command(file: Path) -> list[str]:
-    """What runs a node so that it leaves a profile at its end."""
-    return [sys.executable, "-m", "cProfile", "-o", str(file), "-m", "fawngw"]
+    """What runs a node so that it leaves a profile of processor time at its end."""
+    return [sys.executable, "-c", RUN, str(file)]
 
 
 def cause(file: str, name: str) -> str | None:
-    """The cause that a function's own time is put down to; None for waiting and for the start."""
-    if any(part in file for part in WAITS) or any(part in file or part in name for part in STARTS):
+    """The cause that a function's own time is put down to; None for the start."""
+    if any(part in file for part in LOOP):
+        return BELOW
+    if any(part in file or part in name for part in STARTS):
         return None
     for part, found in CAUSES.items():
         if f"/{part}" in file:
@@ -56,11 +56,8 @@
     return "built-in functions" if file == "~" else "other"
 
 
-def by_cause(files: list[Path], requests: int, core_s: float) -> list[dict[str, Any]]:
-    """Own time by cause over the profiles of one version's nodes, which took so much processor time serving.
-
-    Shares of that, with the profiler's own cost in it, and function calls for each request.
-    """
+def by_cause(files: list[Path], requests: int) -> list[dict[str, Any]]:
+    """Own time by cause over the profiles of one version's nodes: shares, and function calls a request."""
     times: defaultdict[str, float] = defaultdict(float)
     calls: defaultdict[str, int] = defaultdict(int)
     for file in files:
@@ -70,7 +67,6 @@
             if found is not None:
                 times[found] += own
                 calls[found] += count
-    times[BELOW] = max(0.0, core_s - sum(times.values()))
     total = sum(times.values()) or 1.0
     return [
         {
