--- a/fawngw/cli/overhead.py
+++ b/fawngw/cli/overhead.py
@@ -61,8 +61,8 @@
 
     Example: crowpost lab overhead --servers 10 --rates 41 --against HEAD~3
     """
-    from fawngw.lab.overhead.platform import Case
-    from fawngw.lab.overhead.play import How, play
+    from fawngw.lab.overhead.platform import Case, How
+    from fawngw.lab.overhead.play import play
     from fawngw.lab.overhead.versions import OverheadError
 
     if effect not in EFFECTS:
@@ -74,7 +74,7 @@
     loops = [(rate, 0) for rate in numbers(rates, "--rates", 0.1, 5000)]
     loops += [(0.0, int(n)) for n in numbers(callers, "--callers", 1, 100, whole=True)]
     if not sizes or not depths or not loops:
-        unusable("--servers, --chains, and --rates or --callers must name something")
+        unusable("--servers, --chains, and --rates or --callers must name some")
     cases = [Case(size, depth, *loop) for size in sizes for depth in depths for loop in loops]
     revisions = [name.strip() for name in against.split(",") if name.strip()]
     err = console(stderr=True)
--- a/fawngw/lab/overhead/caller.py
+++ b/fawngw/lab/overhead/caller.py
@@ -27,7 +27,6 @@
 
 SPIN_S = 0.0001  # before a request is due: less than a timer is late by
 GIVE_UP_S = 5.0  # after the last request of a slice
-WARM_S = 1.0  # not counted
 
 
 @dataclass
@@ -42,6 +41,7 @@
     callers: int  # if closed
     slice_s: float  # of a round in an open loop, of each arm in a round of a closed one
     rounds: int
+    warm_s: float  # before the first of them, not counted
     kind: int
     seed: int
     prefix: str  # of all ids, so that no two runs share one
@@ -178,7 +178,7 @@
     def open_loop(self) -> list[Slice]:
         """All arms at once, each at the full rate; a request counts for the round in which it is due."""
         plan, arms = self.plan, range(len(self.plan.arms))
-        warm = round(WARM_S / plan.slice_s)
+        warm = max(1, round(plan.warm_s / plan.slice_s))
         rounds = [[Slice(arm, number, plan.slice_s) for arm in arms] for number in range(-warm, plan.rounds)]
         began = time.perf_counter() + 0.01
         due = [(began + self.random.expovariate(plan.rate), arm) for arm in arms]
@@ -219,7 +219,7 @@
         """The arms one after another, in each round in an order drawn anew."""
         arms = range(len(self.plan.arms))
         for arm in arms:
-            self._closed(arm, -1, WARM_S)
+            self._closed(arm, -1, self.plan.warm_s)
         return [
             self._closed(arm, number, self.plan.slice_s)
             for number in range(self.plan.rounds)
--- a/fawngw/lab/overhead/platform.py
+++ b/fawngw/lab/overhead/platform.py
@@ -19,8 +19,7 @@
 from fawngw.lab.overhead.stand import CLASSES
 from fawngw.lab.overhead.versions import NOW, OverheadError, Version
 
-SLICE_S = 0.5  # of a closed loop
-ROUND_S = 1.0  # of an open one
+STARTS = 4  # nodes at a time
 STARTS_S = 20.0
 ENDS_S = 5.0
 PROFILED_ENDS_S = 25.0  # longer than a node drains
@@ -28,6 +27,19 @@
 IDLE_S = 30.0  # after which servers close connections, as the nodes are told
 
 
+@dataclass(frozen=True, slots=True)
+class How:
+    """How all cases are played."""
+
+    seconds: float = 20.0  # of each arm of each case
+    kind: int = 0  # of the calls, in CLASSES
+    seed: int = 1
+    profiled: bool = False
+    round_s: float = 1.0  # of an open loop, where all arms run at once
+    slice_s: float = 0.5  # of one arm of a closed loop
+    warm_s: float = 1.0  # before the first round, not counted
+
+
 @dataclass(frozen=True, slots=True)
 class Case:
     """One thing to measure."""
@@ -218,16 +230,19 @@
                 if self.profiled:
                     node.command = profile.command(self.folder / f"{name}.profile")
                 self._stack.push_async_callback(node.kill)
-                await node.start()
-                self.cores.pin(node.pid)
                 nodes.append(node)
+        starting = [node for nodes in self.nodes for node in nodes]
+        for some in range(0, len(starting), STARTS):
+            await asyncio.gather(*(node.start() for node in starting[some : some + STARTS]))
+        for node in starting:
+            self.cores.pin(node.pid)
         await self.stand.ask([[], *([node.port for node in nodes] for nodes in self.nodes)], STARTS_S)
 
-    async def play(self, case: Case, seconds: float, kind: int, seed: int) -> dict[str, Any]:
+    async def play(self, case: Case, how: How) -> dict[str, Any]:
         """One case: its slices, and how many answers came that nobody had asked for."""
         self._cases += 1
-        span = ROUND_S if case.rate else SLICE_S
-        rounds = max(2, round(seconds / span))
+        span = how.round_s if case.rate else how.slice_s
+        rounds = max(2, round(how.seconds / span))
         arms = [0, 0, *range(1, 1 + len(self.versions))]
         plan = Plan(
             ports=[self.front, *([nodes[0].port] for nodes in self.nodes)],
@@ -238,15 +253,16 @@
             callers=case.callers,
             slice_s=span,
             rounds=rounds,
-            kind=kind,
-            seed=seed,
+            warm_s=how.warm_s,
+            kind=how.kind,
+            seed=how.seed,
             prefix=f"{self._cases:06x}",
         )
         caller = Helper("caller")
         pid = await caller.start()
         try:
             self.cores.pin(pid, 0)
-            within = (rounds + 2) * len(arms) * span + SLACK_S
+            within = (rounds * span + how.warm_s) * len(arms) + SLACK_S
             found: dict[str, Any] = await caller.ask(asdict(plan), within, end=True)
         finally:
             await caller.stop()
--- a/fawngw/lab/overhead/play.py
+++ b/fawngw/lab/overhead/play.py
@@ -8,27 +8,16 @@
 import tempfile
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from fawngw.lab.live.processes import NodeError
 from fawngw.lab.overhead.figures import summary
-from fawngw.lab.overhead.platform import Case, Platform
+from fawngw.lab.overhead.platform import Case, How, Platform
 from fawngw.lab.overhead.stand import CLASSES
 from fawngw.lab.overhead.versions import OverheadError, Version, present, unpack
 
 
-@dataclass(frozen=True, slots=True)
-class How:
-    """How all cases are played."""
-
-    seconds: float = 20.0  # of each arm of each case
-    kind: int = 0  # of the calls, in CLASSES
-    seed: int = 1
-    profiled: bool = False
-
-
 async def _play_all(
     cases: Sequence[Case],
     revisions: Sequence[str],
@@ -48,7 +37,7 @@
             async with Platform(folder, servers, chain, versions, how.seed, how.profiled) as platform:
                 for case in (c for c in cases if (c.servers, c.chain) == (servers, chain)):
                     say(f"{servers} servers, chain of {chain}, {_loop(case)}")
-                    played.append((case, await platform.play(case, how.seconds, how.kind, how.seed)))
+                    played.append((case, await platform.play(case, how)))
                 if how.profiled:
                     profiles += await platform.profiles()
     # Only now: while nodes run, this process is their discovery and must not stand still.
--- a/fawngw/lab/overhead/versions.py
+++ b/fawngw/lab/overhead/versions.py
@@ -25,9 +25,9 @@
     folder: Path | None = None
 
 
-def _git(*arguments: str) -> bytes:
+def _git(root: Path, *arguments: str) -> bytes:
     try:
-        done = subprocess.run(["git", *arguments], cwd=ROOT, capture_output=True, check=True)
+        done = subprocess.run(["git", *arguments], cwd=root, capture_output=True, check=True)
     except FileNotFoundError:
         raise OverheadError("git is not installed") from None
     except subprocess.CalledProcessError as error:
@@ -35,21 +35,23 @@
     return done.stdout
 
 
-def present() -> Version:
+def present(root: Path = ROOT) -> Version:
     """The present version, with its commit where it stands in a checkout."""
     try:
-        commit = _git("rev-parse", "--short=12", "HEAD").decode().strip()
-        changed = _git("status", "--porcelain", "--untracked-files=no", "../../..").strip()
+        commit = _git(root, "rev-parse", "--short=12", "HEAD").decode().strip()
+        changed = _git(root, "status", "--porcelain", "--untracked-files=no", ":/").strip()
     except OverheadError:
         return Version(NOW, "unknown")
     return Version(NOW, f"{commit}+changes" if changed else commit)
 
 
-def unpack(revision: str, folder: Path) -> Version:
+def unpack(revision: str, folder: Path, root: Path = ROOT) -> Version:
     """The package of a git revision; OverheadError if there is none by that name."""
-    top = _git("rev-parse", "--show-toplevel").decode().strip()
-    commit = _git("rev-parse", "--verify", "--end-of-options", f"{revision}^{{commit}}").decode().strip()
-    packed = _git("-C", top, "archive", "--format=tar", commit, "fawngw")
+    top = _git(root, "rev-parse", "--show-toplevel").decode().strip()
+    commit = (
+        _git(root, "rev-parse", "--verify", "--end-of-options", f"{revision}^{{commit}}").decode().strip()
+    )
+    packed = _git(root, "-C", top, "archive", "--format=tar", commit, "fawngw")
     target = folder / commit[:12]
     with tarfile.open(fileobj=io.BytesIO(packed)) as archive:
         archive.extractall(target, filter="data")
