--- a/fawngw/lab/overhead/caller.py
+++ b/fawngw/lab/overhead/caller.py
@@ -1,8 +1,10 @@
 """python -m fawngw.lab.overhead.caller: calls direct and through nodes, in turn.
 
 Open loops of all arms run at once, request by request: each arm's calls are a Poisson process of its own at
-the full rate, so that every node has the calls that it would have alone, and stands idle no longer.  Closed
-loops take what there is, so they run one after another, in short slices, in an order drawn anew each round.
+the full rate, so that every node has the calls that it would have alone, and stands idle no longer.  The two
+direct arms share one rate.  Where the nodes of all versions together are too much for the machine, versions
+take turns round by round.  Closed loops take what there is, so they run one after another, in short slices,
+in an order drawn anew each round.
 
 One thread on one epoll, since a common client library costs more than the node.  Standard input: a `Plan` as
 one object of JSON; standard output: the slices as JSON.  Times are of the machine's one monotonic clock.
@@ -25,6 +27,7 @@
 
 from fawngw.lab.overhead.stand import HOST, request, whole
 
+DIRECT = 2  # arms that are direct, the first ones
 SPIN_S = 0.0001  # before a request is due: less than a timer is late by
 GIVE_UP_S = 5.0  # after the last request of a slice
 
@@ -41,6 +44,7 @@
     callers: int  # if closed
     slice_s: float  # of a round in an open loop, of each arm in a round of a closed one
     rounds: int
+    turns: bool  # of an open loop: whether in each round only one version is played beside the direct arms
     warm_s: float  # before the first of them, not counted
     kind: int
     seed: int
@@ -175,31 +179,40 @@
                 select.select([self._epoll.fileno()], [], [], left - SPIN_S)
             self._hear(0)
 
+    def _played(self, arm: int, number: int) -> bool:
+        """Whether an arm has its turn in a round of an open loop."""
+        return arm < DIRECT or not self.plan.turns or (number - arm) % (len(self.plan.arms) - DIRECT) == 0
+
     def open_loop(self) -> list[Slice]:
-        """All arms at once, each at the full rate; a request counts for the round in which it is due."""
+        """All arms at once; a request counts for the round in which it is due."""
         plan, arms = self.plan, range(len(self.plan.arms))
+        rates = [plan.rate / DIRECT if arm < DIRECT else plan.rate for arm in arms]
         warm = max(1, round(plan.warm_s / plan.slice_s))
         rounds = [[Slice(arm, number, plan.slice_s) for arm in arms] for number in range(-warm, plan.rounds)]
         began = time.perf_counter() + 0.01
-        due = [(began + self.random.expovariate(plan.rate), arm) for arm in arms]
+        due = [(began + self.random.expovariate(rates[arm]), arm) for arm in arms]
         heapify(due)
         end = began + len(rounds) * plan.slice_s
         counted, before = False, [0] * len(arms)
         while (first := due[0])[0] < end:
             at, arm = first
+            heapreplace(due, (at + self.random.expovariate(rates[arm]), arm))
             number = min(int((at - began) / plan.slice_s), len(rounds) - 1)
             if not counted and number >= warm:
                 counted, before = True, [core_ns(plan.pids[way]) for way in plan.arms]
+            if not self._played(arm, number - warm):
+                continue
             self._wait(at)
             of = rounds[number][arm]
             of.late_ms = max(of.late_ms, 1000.0 * (time.perf_counter() - at))
             self._send(of, at)
-            heapreplace(due, (at + self.random.expovariate(plan.rate), arm))
         self._wait(end)
         self._finish()
+        played = [of for each in rounds[warm:] for of in each if self._played(of.arm, of.round)]
         for arm in arms:
-            rounds[-1][arm].core_ns = core_ns(plan.pids[plan.arms[arm]]) - before[arm]
-        return [of for each in rounds[warm:] for of in each]
+            last = next(of for of in reversed(played) if of.arm == arm)
+            last.core_ns = core_ns(plan.pids[plan.arms[arm]]) - before[arm]
+        return played
 
     def _closed(self, arm: int, number: int, seconds: float) -> Slice:
         """One slice: each caller calls again as soon as it has its answer."""
--- a/fawngw/lab/overhead/figures.py
+++ b/fawngw/lab/overhead/figures.py
@@ -58,14 +58,15 @@
     }
 
 
-def by_round(slices: Sequence[Mapping[str, Any]], arms: Sequence[int], key: str) -> list[list[float]]:
-    """The values of some arms, joined by round."""
-    rounds = 1 + max((s["round"] for s in slices), default=-1)
-    found: list[list[float]] = [[] for _ in range(rounds)]
+def by_round(
+    slices: Sequence[Mapping[str, Any]], arms: Sequence[int], key: str, within: int | None = None
+) -> list[list[float]]:
+    """The values of some arms, joined by round; only of rounds in which an arm `within` was played."""
+    found: dict[int, list[float]] = {s["round"]: [] for s in slices if within is None or s["arm"] == within}
     for s in slices:
-        if s["arm"] in arms:
+        if s["arm"] in arms and s["round"] in found:
             found[s["round"]].extend(s[key])
-    return found
+    return [found[number] for number in sorted(found)]
 
 
 def joined(rounds: Rounds) -> list[float]:
@@ -73,14 +74,23 @@
     return [value for one in rounds for value in one]
 
 
-def summary(slices: Sequence[Mapping[str, Any]], arm: int, seed: int) -> dict[str, Any]:
-    """What one arm of calls through nodes shows beside the two direct arms (0 and 1) of the same run."""
-    direct, through = by_round(slices, (0, 1), "latency_ms"), by_round(slices, (arm,), "latency_ms")
-    halves = [percentiles(joined(by_round(slices, (half,), "latency_ms"))) for half in (0, 1)]
-    there = [percentiles(joined(by_round(slices, arms, "there_ms"))) for arms in ((0, 1), (arm,))]
+def summary(
+    slices: Sequence[Mapping[str, Any]], arm: int, seed: int, *, at_once: bool = False
+) -> dict[str, Any]:
+    """What one arm of calls through nodes shows beside the two direct arms (0 and 1) of the same rounds.
+
+    `at_once`: whether the arms of a round were played at once, not one after another.
+    """
+    direct, through, *each = (
+        by_round(slices, arms, "latency_ms", arm) for arms in ((0, 1), (arm,), (0,), (1,))
+    )
+    halves = [percentiles(joined(half)) for half in each]
+    there = [percentiles(joined(by_round(slices, arms, "there_ms", arm))) for arms in ((0, 1), (arm,))]
     alone = percentiles(joined(direct)), percentiles(joined(through))
     mine = [s for s in slices if s["arm"] == arm]
-    plain = [s for s in slices if s["arm"] in (0, 1)]
+    rounds = {s["round"] for s in mine}
+    plain = [s for s in slices if s["arm"] in (0, 1) and s["round"] in rounds]
+    direct_s = sum(s["seconds"] for s in plain) / (2.0 if at_once else 1.0)
     served = sum(s["ends"].get("served", 0) for s in mine)
     seconds = sum(s["seconds"] for s in mine)
     ends: dict[str, int] = {}
@@ -100,8 +110,6 @@
         if served
         else None,
         "requests_per_s": round(served / seconds, 1),
-        "direct_per_s": round(
-            sum(s["ends"].get("served", 0) for s in plain) / sum(s["seconds"] for s in plain), 1
-        ),
+        "direct_per_s": round(sum(s["ends"].get("served", 0) for s in plain) / direct_s, 1),
         "late_ms": round(max(s["late_ms"] for s in (*mine, *plain)), 3),
     }
--- a/fawngw/lab/overhead/platform.py
+++ b/fawngw/lab/overhead/platform.py
@@ -101,16 +101,20 @@
 class Cores:
     """Which core is whose: the caller's, the servers', the nodes' in turn; none where there are not four."""
 
-    def __init__(self) -> None:
+    def __init__(self, nodes: int) -> None:
         self.all = sorted(os.sched_getaffinity(0))
+        self.enough = nodes <= len(self.all) - 2  # else each node may run on any core of those left
         self._turn = 0
 
     def pin(self, pid: int, place: int | None = None) -> None:
         """Give one of our processes a core: by place from the last, or the next of the nodes'."""
         if len(self.all) < 4:
             return
+        if place is None and not self.enough:
+            os.sched_setaffinity(pid, self.all[:-2])
+            return
         if place is None:
-            place = 2 + self._turn % (len(self.all) - 2)
+            place = 2 + self._turn
             self._turn += 1
         os.sched_setaffinity(pid, {self.all[-1 - place]})
 
@@ -188,7 +192,7 @@
         self.versions, self.seed = versions, seed
         self.profiled = profiled
         self.requests = [0] * len(versions)  # that went through each version
-        self.cores = Cores()
+        self.cores = Cores(chain * len(versions))
         self.stand = Helper("stand")
         self.front: list[int] = []  # the ports of the first tier's servers
         self.nodes: list[list[NodeProcess]] = []  # by version and tier
@@ -243,6 +247,9 @@
         self._cases += 1
         span = how.round_s if case.rate else how.slice_s
         rounds = max(2, round(how.seconds / span))
+        turns = case.rate > 0.0 and len(self.versions) > 1 and not self.cores.enough
+        if turns:
+            rounds *= len(self.versions)
         arms = [0, 0, *range(1, 1 + len(self.versions))]
         plan = Plan(
             ports=[self.front, *([nodes[0].port] for nodes in self.nodes)],
@@ -253,7 +260,8 @@
             callers=case.callers,
             slice_s=span,
             rounds=rounds,
-            warm_s=how.warm_s,
+            turns=turns,
+            warm_s=how.warm_s * (len(self.versions) if turns else 1),
             kind=how.kind,
             seed=how.seed,
             prefix=f"{self._cases:06x}",
--- a/fawngw/lab/overhead/play.py
+++ b/fawngw/lab/overhead/play.py
@@ -71,7 +71,7 @@
         "loop": "open" if case.rate else "closed",
         "callers": case.callers or None,
         "extra": found["extra"],
-        **summary(found["slices"], arm, seed),
+        **summary(found["slices"], arm, seed, at_once=case.rate > 0.0),
     }
 
 
--- a/tests/test_overhead.py
+++ b/tests/test_overhead.py
@@ -198,7 +198,7 @@
     monkeypatch.setattr(client, "GIVE_UP_S", 0.05 if answer == "nothing" else 5.0)
     with server(answer) as port:
         plan = client.Plan(
-            [[port]], [[os.getpid()]], [0, 0], loop == "open", 500.0, 2, 0.03, 2, 0.03, 0, 3, "00000a"
+            [[port]], [[os.getpid()]], [0, 0], loop == "open", 500.0, 2, 0.03, 2, False, 0.03, 0, 3, "00000a"
         )
         played = client.Caller(plan)
         slices = played.open_loop() if plan.open else played.closed_loop()
@@ -211,6 +211,23 @@
     assert (played.extra > 0) is (answer == "twice")
 
 
+def test_versions_take_turns_beside_the_direct_arms() -> None:
+    with server("well") as port:
+        ways = [[port]] * 3
+        plan = client.Plan(
+            ways, [[os.getpid()]] * 3, [0, 0, 1, 2], True, 300.0, 0, 0.05, 4, True, 0.05, 0, 3, "00000a"
+        )
+        slices = client.Caller(plan).open_loop()
+    assert [(s.round, s.arm) for s in slices] == [(n, arm) for n in range(4) for arm in (0, 1, 2 + n % 2)]
+    assert {arm: sum(s.sent for s in slices if s.arm == arm) > 0 for arm in range(4)} == dict.fromkeys(
+        range(4), True
+    )
+    raw = [{name: getattr(s, name) for name in client.Slice.__dataclass_fields__} for s in slices]
+    for arm, rounds in ((2, (0, 2)), (3, (1, 3))):
+        direct = [ms for s in slices if s.arm < 2 and s.round in rounds for ms in s.latency_ms]
+        assert summary(raw, arm, 1, at_once=True)["direct"] == percentiles(direct)
+
+
 # ---------------------------------------------------------------- a real run
 
 
