--- a/fawngw/lab/overhead/caller.py
+++ b/fawngw/lab/overhead/caller.py
@@ -122,7 +122,12 @@
         self._busy += 1
         of.sent += 1
         self.sent[of.arm] += 1
-        line.socket.send(request(line.number, way, self.plan.kind))
+        try:
+            line.socket.send(request(line.number, way, self.plan.kind))
+        except OSError:  # closed in this moment: nothing can come any more
+            self._busy -= 1
+            of.ends["unanswered"] += 1
+            self._close(line)
 
     def _hear(self, wait_s: float) -> list[float]:
         """Take what comes within a time; when each answer had come whole."""
--- a/fawngw/lab/overhead/platform.py
+++ b/fawngw/lab/overhead/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import sys
@@ -159,21 +160,17 @@
         text = (await self._process.stderr.read()).decode(errors="replace").strip()
         return text.splitlines()[-1] if text else "and left no word"
 
-    async def stop(self) -> Any:
-        """End it by the end of its input, else by its id; its last line."""
+    async def stop(self) -> None:
+        """End it by the end of its input, else by its id."""
         process = self._process
         if process is None or process.stdin is None or process.stdout is None:
-            return None
+            return
         process.stdin.close()
-        try:
-            line = await asyncio.wait_for(process.stdout.readline(), ENDS_S)
+        with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(process.wait(), ENDS_S)
-        except TimeoutError:
-            line = b""
         if process.returncode is None:
             process.kill()
             await process.wait()
-        return json.loads(line) if line else None
 
 
 class Platform:
@@ -196,6 +193,7 @@
         self.stand = Helper("stand")
         self.front: list[int] = []  # the ports of the first tier's servers
         self.nodes: list[list[NodeProcess]] = []  # by version and tier
+        self.ports: list[list[int]] = []  # of the nodes, by way and tier
         self._stack = AsyncExitStack()
         self._cases = 0
 
@@ -240,7 +238,8 @@
             await asyncio.gather(*(node.start() for node in starting[some : some + STARTS]))
         for node in starting:
             self.cores.pin(node.pid)
-        await self.stand.ask([[], *([node.port for node in nodes] for nodes in self.nodes)], STARTS_S)
+        self.ports = [[], *([node.port for node in nodes] for nodes in self.nodes)]
+        await self.stand.ask(self.ports, STARTS_S)
 
     async def play(self, case: Case, how: How) -> dict[str, Any]:
         """One case: its slices, and how many answers came that nobody had asked for."""
@@ -270,10 +269,14 @@
         pid = await caller.start()
         try:
             self.cores.pin(pid, 0)
+            before = await self.stand.ask(self.ports, STARTS_S)
             within = (rounds * span + how.warm_s) * len(arms) + SLACK_S
             found: dict[str, Any] = await caller.ask(asdict(plan), within, end=True)
+            after = await self.stand.ask(self.ports, STARTS_S)
         finally:
             await caller.stop()
+        before += [0] * (len(after) - len(before))
+        found["attempts"] = [b - a for a, b in zip(before, after, strict=True)]
         for i, sent in enumerate(found["sent"][2:]):
             self.requests[i] += sent
         for nodes in self.nodes:
--- a/fawngw/lab/overhead/play.py
+++ b/fawngw/lab/overhead/play.py
@@ -71,10 +71,18 @@
         "loop": "open" if case.rate else "closed",
         "callers": case.callers or None,
         "extra": found["extra"],
+        "attempts_each": _each(found, arm),
         **summary(found["slices"], arm, seed, at_once=case.rate > 0.0),
     }
 
 
+def _each(found: dict[str, Any], arm: int) -> float | None:
+    """Calls that came to the last tier for each that was made, warm ones included."""
+    sent, attempts = found["sent"][arm], found["attempts"]
+    way = arm - 1
+    return round(attempts[way] / sent, 4) if sent and way < len(attempts) else None
+
+
 def _loop(case: Case) -> str:
     return f"{case.rate:g} a second" if case.rate else f"{case.callers} callers in a closed loop"
 
--- a/fawngw/lab/overhead/stand.py
+++ b/fawngw/lab/overhead/stand.py
@@ -3,7 +3,8 @@
 The servers of the last tier answer at once; those of the tiers before pass a request on, straight to a server
 of the next tier or through that tier's node.  Which way is told by the query (`/api?w=0` is direct), since a
 node passes that on unchanged.  Standard input: a line of JSON with the numbers of tiers and of servers each,
-answered by the ports; then one with the nodes' ports by way and tier.  It ends with its input.
+answered by the ports; then lines with the nodes' ports by way and tier, each answered by the calls that the
+last tier has had until then, by way.  It ends with its input.
 """
 
 from __future__ import annotations
@@ -60,10 +61,15 @@
         self.tiers = tiers
         self.ports: list[list[int]] = []
         self.nodes: list[list[int]] = [[]]  # by way and tier; way 0 has none
-        self.calls = 0  # that have come to servers of the last tier
+        self.calls: list[int] = []  # that have come to servers of the last tier, by way
         self._turn = 0
         self._idle: dict[int, list[Onward]] = {}
 
+    def count(self, way: int) -> None:
+        """A call has come to the last tier."""
+        self.calls += [0] * (way + 1 - len(self.calls))
+        self.calls[way] += 1
+
     def target(self, tier: int, way: int) -> int:
         """The port to which a server of a tier passes on what came by a way."""
         if way:
@@ -117,7 +123,7 @@
         if found is None or number is None:
             self.transport.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
         elif self._last:
-            self._stand.calls += 1
+            self._stand.count(int(found[2]))
             body = b"%s %020d" % (number[1], at)
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         else:
@@ -181,8 +187,7 @@
     print(json.dumps(stand.ports), flush=True)
     while line := await lines.readline():
         stand.nodes = json.loads(line)
-        print("{}", flush=True)
-    print(json.dumps({"calls": stand.calls}), flush=True)
+        print(json.dumps(stand.calls), flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/test_overhead.py
+++ b/tests/test_overhead.py
@@ -243,6 +243,8 @@
         assert run["extra"] == 0 and run["ends"] == {"served": run["requests"]} and run["requests"] > 20
         assert run["version"] == "now" and (run["servers"], run["chain"]) == (3, 2)
         assert set(run["direct"]) == set(run["through"]) == set(run["added"]) == set(PERCENTILES)
+        assert 1.0 <= run["attempts_each"] < 2.0  # a node may send a second copy of a call that is late
+        assert found["attempts"][0] == found["sent"][0] + found["sent"][1]  # nobody does of direct ones
         assert run["core_us_per_request"] > 0.0 and run["requests_per_s"] > 0.0
     assert [run["loop"] for run in record["runs"]] == ["open", "closed"]
     assert json.loads(json.dumps(record)) == record
