--- /dev/null
+++ b/fawngw/feed/model.py
@@ -0,0 +1,212 @@
+"""Documents, their heads and scopes, how far a process has got with them, and the bounds on all of it.
+
+A document is known by (scope, era, version).  The version rises strictly in its scope; the era rises when
+a publisher is restored from a backup, so that what it publishes then passes for newer.  Wall clocks take no
+part.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+WIRE = 1
+NAME_BYTES = 64
+REASON_BYTES = 200
+WHY_BYTES = 200
+PREFIX = 8  # bytes of a digest that tell two bodies apart where no adversary chose them
+_WORD = 2**63
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_KINDS = ("all", "region", "service", "node")  # from the widest scope to the narrowest
+
+
+class FeedError(ValueError):
+    """A document, scope, message or setting that cannot be meant; its text is one line."""
+
+
+def split_scope(scope: str) -> tuple[str, str]:
+    """Kind and name of 'all', 'region/R', 'service/S' or 'node/N'; FeedError for anything else."""
+    kind, slash, name = scope.partition("/")
+    if scope == "all":
+        return "all", ""
+    if kind not in _KINDS[1:] or not slash or not _NAME.fullmatch(name):
+        raise FeedError(f"not a scope (all, region/R, service/S or node/N): {scope[:80]!r}")
+    return kind, name
+
+
+def wanted(scope: str, region: str, service: str, node: str) -> bool:
+    """Whether a document of this scope is meant for a node of that region, service and name."""
+    return scope in scopes_of(region, service, node)
+
+
+def scopes_of(region: str, service: str, node: str) -> tuple[str, ...]:
+    """The scopes that are meant for a node, from the widest to the narrowest; an empty name has none."""
+    named = (("region", region), ("service", service), ("node", node))
+    return ("all", *(f"{kind}/{name}" for kind, name in named if name))
+
+
+def order(scopes: Iterable[str]) -> list[str]:
+    """The scopes from the widest to the narrowest: what comes later goes over what came before."""
+    return sorted(scopes, key=lambda scope: (_KINDS.index(split_scope(scope)[0]), scope))
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """What there is to know of a document without its body."""
+
+    scope: str
+    era: int
+    version: int
+    digest: bytes  # SHA-256 of the body
+    size: int  # of the body, in bytes
+    author: str
+    reason: str
+    writer: str  # the publisher's name
+
+    def __post_init__(self) -> None:
+        split_scope(self.scope)
+        for label, text, most in (
+            ("author", self.author, NAME_BYTES),
+            ("reason", self.reason, REASON_BYTES),
+            ("writer", self.writer, NAME_BYTES),
+        ):
+            if len(text.encode()) > most:
+                raise FeedError(f"{label} is longer than {most} bytes: {text[:60]!r}")
+        if len(self.digest) != 32:
+            raise FeedError(f"a digest of {len(self.digest)} bytes")
+        if not (0 <= self.era < _WORD and 0 < self.version < _WORD and 0 <= self.size < _WORD):
+            raise FeedError(f"{self.scope}: era, version or size out of bounds")
+
+    @property
+    def rank(self) -> tuple[int, int, str, bytes]:
+        """Of two heads of one scope the one of the higher rank holds.
+
+        Era and version decide; only where a cut left two answers for one version, the writer's name does, so
+        that all processes choose alike.  The digest comes last, for a writer that answered twice itself.
+        """
+        return self.era, self.version, self.writer, self.digest
+
+    @property
+    def mark(self) -> Mark:
+        return Mark(self.scope, self.era, self.version, self.digest[:PREFIX])
+
+
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """A head in short: which document, told apart from another answer to the same version."""
+
+    scope: str
+    era: int
+    version: int
+    digest: bytes  # the first PREFIX bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A head and the body that it names."""
+
+    head: Head
+    body: bytes
+
+    @property
+    def whole(self) -> bool:
+        """Whether the body is the one that the head names."""
+        return len(self.body) == self.head.size and hashlib.sha256(self.body).digest() == self.head.digest
+
+
+def make_document(
+    scope: str, era: int, version: int, body: bytes, *, author: str, reason: str, writer: str
+) -> Document:
+    """A document with its digest; FeedError for fields out of their bounds."""
+    digest = hashlib.sha256(body).digest()
+    return Document(Head(scope, era, version, digest, len(body), author, reason, writer), body)
+
+
+class State(StrEnum):
+    """How a node stands to a document."""
+
+    IN_FORCE = "in force"
+    REFUSED = "refused"  # the last good one stays in force
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """How one process stands to the newest document of a scope that it got whole."""
+
+    mark: Mark
+    state: State
+    why: str = ""  # it was refused
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Two answers for one scope in one era: which one holds, which one does not, and by which rule."""
+
+    kept: Head
+    dropped: Head
+    rule: str  # "version": the higher; "writer": of equal versions the later name; "digest": of one writer
+
+
+@dataclass(frozen=True, slots=True)
+class Interest:
+    """Which documents a follower watches: those meant for one node, or all there are."""
+
+    region: str = ""
+    service: str = ""
+    node: str = ""
+    everything: bool = False
+
+    def wants(self, scope: str) -> bool:
+        return self.everything or wanted(scope, self.region, self.service, self.node)
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """A hub that may be watched.  tier: those of a lower one are always tried first."""
+
+    address: str
+    region: str = ""
+    zone: str = ""
+    tier: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """Times in ms and bounds, for followers and hubs; the figures are measured in docs/feed.md."""
+
+    watches: int = 2  # servers that a follower watches at once
+    beat_ms: float = 2_000.0  # a link says at least so often that it is alive
+    silent_ms: float = 4_500.0  # a server that says nothing for so long is given up
+    follower_silent_ms: float = 20_000.0  # a follower may sleep for longer than a server
+    dial_ms: float = 2_000.0  # for a connection, and for the first word on it
+    backoff_ms: float = 250.0  # before a server is dialled again, doubled each time, with jitter
+    backoff_most_ms: float = 8_000.0
+    improve_ms: float = 45_000.0  # between looks whether a nearer server is back, in the mean
+    near_ms: float = 250.0  # that the nearer server has to tell of a document which the other told of
+    take_over_ms: float = 1_000.0  # without a byte of a body until the other server is asked for the rest
+    slow_ms: float = 10_000.0  # that a server which let a body wait is asked last
+    vector_ms: float = 2_000.0  # between vectors sent for a differing digest, doubled each time
+    vector_most_ms: float = 64_000.0
+    late_ms: float = 500.0  # a tick that comes later than so: this process stood still
+    bytes_per_s: float = 3_300.0  # of a node, both ways: a third of its 10 kB/s for all control
+    bytes_saved: float = 100_000.0  # of that, saved up in quiet for a burst
+    link_bytes_per_s: float = 3_300.0  # that a hub sends to one node
+    link_bytes_saved: float = 100_000.0
+    relay_bytes_per_s: float = 200_000.0  # of a relay or publisher that follows, and sent to one of these
+    relay_bytes_saved: float = 2_000_000.0
+    hub_bytes_per_s: float = 4_000_000.0  # that a hub sends in all
+    hub_bytes_saved: float = 4_000_000.0
+    piece_bytes: int = 16_384  # of a body in one frame, so that a stall shows
+    document_bytes: int = 262_144
+    documents: int = 4_096
+    table_bytes: int = 33_554_432  # of bodies held
+    fetches: int = 32  # bodies that a hub serves at once; others queue
+    queue: int = 4_096  # fetches that wait at a hub; any more are told that it is busy
+    wants: int = 4  # bodies that a follower of few scopes fetches at once
+    relay_wants: int = 32  # and one of all scopes
+    followers: int = 2_048  # links that a hub takes
+    damaged: int = 3  # frames of a link that may be damaged until it is given up
+    status_ms: float = 2_000.0  # that a status may take
--- /dev/null
+++ b/fawngw/feed/wire.py
@@ -0,0 +1,451 @@
+"""Messages as frames: a length, a head (magic, version, kind, cluster, CRC-32C), and a MessagePack body.
+
+Reading is strict about types and bounds, and lenient about items that a neighbouring version appends.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any, TypeVar
+
+import google_crc32c
+import msgpack
+
+from fawngw.feed.model import (
+    NAME_BYTES,
+    PREFIX,
+    REASON_BYTES,
+    WHY_BYTES,
+    WIRE,
+    FeedError,
+    Head,
+    Mark,
+    Standing,
+    State,
+    split_scope,
+)
+
+MAGIC = b"CF"
+LENGTH = struct.Struct(">I")
+HEAD = struct.Struct(">2sBBI")  # magic, wire version, kind, cluster
+CRC = struct.Struct(">I")  # of head and body
+FRAME = LENGTH.size + HEAD.size + CRC.size  # bytes around a body
+FRAME_BYTES = 4_000_000
+HEADS = 64  # in one frame at the most
+_WORD = 2**63
+
+
+class Kind(IntEnum):
+    """What a message is."""
+
+    HELLO = 1
+    HEADS = 2
+    FETCH = 3
+    BODY = 4
+    ABSENT = 5
+    BEAT = 6
+    REPORT = 7
+    ASK_STATUS = 8
+    STATUS = 9
+    PUBLISH = 10
+    PUBLISHED = 11
+    REFUSED = 12
+    BYE = 13
+
+
+class Foreign(FeedError):  # noqa: N818 - named for what it says
+    """Bytes that are no message of this cluster; `kind` says in a word why, for the counts.
+
+    kinds: magic, wire, cluster, oversized, checksum, kind, malformed.  After the first four the stream cannot
+    be followed any further (`fatal`).
+    """
+
+    def __init__(self, kind: str, text: str) -> None:
+        super().__init__(text)
+        self.kind = kind
+        self.fatal = kind in ("magic", "wire", "cluster", "oversized")
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """The first message of either side, and again a follower's whenever digests differ: what it holds."""
+
+    name: str
+    role: str  # node, relay or publisher
+    region: str = ""
+    zone: str = ""
+    service: str = ""
+    everything: bool = False  # it follows all scopes
+    birth: int = 0  # random, tells two processes of one name apart
+    vector: tuple[Mark, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Heads:
+    """Documents that the server holds and the follower does not, as far as the server knows."""
+
+    heads: tuple[Head, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Send these bytes of a body."""
+
+    mark: Mark
+    offset: int
+    length: int
+
+
+@dataclass(frozen=True, slots=True)
+class Body:
+    """A piece of a body."""
+
+    mark: Mark
+    offset: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Absent:
+    """A fetch that is not answered: the server holds another document by now, or has too much to do."""
+
+    mark: Mark
+    why: str  # "gone" or "busy"
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """Alive; and the digest of the versions held among those that the follower watches."""
+
+    digest: int
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """How a follower stands to its documents; of two reports of one birth the higher counter is the later."""
+
+    name: str
+    birth: int
+    counter: int
+    standings: tuple[Standing, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AskStatus:
+    """Tell what is held here, who watches, and how they stand."""
+
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """The answer: a map as `status.py` writes and reads it."""
+
+    number: int
+    value: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """Publish a body, or with `back` the body before the one in force, as a new version."""
+
+    number: int
+    scope: str
+    body: bytes
+    author: str
+    reason: str
+    region: str = ""  # for the first publish of a node's scope: the region that it is configured for
+    if_version: int = -1  # publish only if this is the version now, 0: if there is none; -1: in any case
+    back: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """Durable: kept through a crash from now on."""
+
+    number: int
+    head: Head
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A request that is not met, and why, in one line."""
+
+    number: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Bye:
+    """An orderly end of the link: no failure of either side."""
+
+    why: str = ""
+
+
+Message = (
+    Hello
+    | Heads
+    | Fetch
+    | Body
+    | Absent
+    | Beat
+    | Report
+    | AskStatus
+    | Status
+    | Publish
+    | Published
+    | Refused
+    | Bye
+)
+T = TypeVar("T")
+
+
+def tag(cluster: str) -> int:
+    """The cluster's name in a head."""
+    return int(google_crc32c.value(cluster.encode()))
+
+
+# ---------------------------------------------------------------- rows
+
+
+def _mark_row(m: Mark) -> list[Any]:
+    return [m.scope, m.era, m.version, m.digest]
+
+
+def _head_row(h: Head) -> list[Any]:
+    return [h.scope, h.era, h.version, h.digest, h.size, h.author, h.reason, h.writer]
+
+
+def _row(message: Message) -> list[Any]:
+    match message:
+        case Hello(name, role, region, zone, service, everything, birth, vector):
+            return [name, role, region, zone, service, everything, birth, [_mark_row(m) for m in vector]]
+        case Heads(heads):
+            return [[_head_row(h) for h in heads]]
+        case Fetch(mark, offset, length):
+            return [_mark_row(mark), offset, length]
+        case Body(mark, offset, data):
+            return [_mark_row(mark), offset, data]
+        case Absent(mark, why):
+            return [_mark_row(mark), why]
+        case Beat(digest):
+            return [digest]
+        case Report(name, birth, counter, standings):
+            return [name, birth, counter, [[_mark_row(s.mark), str(s.state), s.why] for s in standings]]
+        case AskStatus(number):
+            return [number]
+        case Status(number, value):
+            return [number, value]
+        case Publish(number, scope, body, author, reason, region, if_version, back):
+            return [number, scope, body, author, reason, region, if_version, back]
+        case Published(number, head):
+            return [number, _head_row(head)]
+        case Refused(number, why):
+            return [number, why]
+        case Bye(why):
+            return [why]
+
+
+_KINDS: dict[type[Any], Kind] = {
+    Hello: Kind.HELLO,
+    Heads: Kind.HEADS,
+    Fetch: Kind.FETCH,
+    Body: Kind.BODY,
+    Absent: Kind.ABSENT,
+    Beat: Kind.BEAT,
+    Report: Kind.REPORT,
+    AskStatus: Kind.ASK_STATUS,
+    Status: Kind.STATUS,
+    Publish: Kind.PUBLISH,
+    Published: Kind.PUBLISHED,
+    Refused: Kind.REFUSED,
+    Bye: Kind.BYE,
+}
+
+
+def encode(message: Message, cluster: int) -> bytes:
+    """A frame; cluster: its `tag`."""
+    body: bytes = msgpack.packb(_row(message))
+    head = HEAD.pack(MAGIC, WIRE, _KINDS[type(message)], cluster)
+    crc = google_crc32c.extend(google_crc32c.value(head), body)
+    return LENGTH.pack(HEAD.size + CRC.size + len(body)) + head + CRC.pack(crc) + body
+
+
+# ---------------------------------------------------------------- reading
+
+
+def _text(value: Any, most: int = NAME_BYTES) -> str:
+    if not isinstance(value, str) or len(value.encode()) > most:
+        raise Foreign("malformed", "a text of another type or beyond its bounds")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < _WORD:
+        raise Foreign("malformed", "a number of another type or beyond its bounds")
+    return value
+
+
+def _bytes(value: Any, most: int) -> bytes:
+    if not isinstance(value, bytes) or len(value) > most:
+        raise Foreign("malformed", "bytes of another type or beyond their bounds")
+    return value
+
+
+def _list(value: Any, read: Callable[[Any], T]) -> tuple[T, ...]:
+    if not isinstance(value, list):
+        raise Foreign("malformed", "a list of another type")
+    return tuple(read(item) for item in value)
+
+
+def _mark(row: Any) -> Mark:
+    scope, era, version, digest, *_ = row
+    split_scope(_text(scope, 80))
+    if len(_bytes(digest, PREFIX)) != PREFIX:
+        raise Foreign("malformed", "a mark with a short digest")
+    return Mark(scope, _whole(era), _whole(version), digest)
+
+
+def _head(row: Any) -> Head:
+    scope, era, version, digest, size, author, reason, writer, *_ = row
+    return Head(
+        _text(scope, 80),
+        _whole(era),
+        _whole(version),
+        _bytes(digest, 32),
+        _whole(size),
+        _text(author),
+        _text(reason, REASON_BYTES),
+        _text(writer),
+    )
+
+
+def _standing(row: Any) -> Standing:
+    mark, state, why, *_ = row
+    return Standing(_mark(mark), State(state), _text(why, WHY_BYTES))
+
+
+def _message(kind: Kind, row: Any) -> Message:
+    match kind:
+        case Kind.HELLO:
+            name, role, region, zone, service, everything, birth, vector, *_ = row
+            return Hello(
+                _text(name),
+                _text(role),
+                _text(region),
+                _text(zone),
+                _text(service),
+                everything is True,
+                _whole(birth),
+                _list(vector, _mark),
+            )
+        case Kind.HEADS:
+            return Heads(_list(row[0], _head))
+        case Kind.FETCH:
+            return Fetch(_mark(row[0]), _whole(row[1]), _whole(row[2]))
+        case Kind.BODY:
+            return Body(_mark(row[0]), _whole(row[1]), _bytes(row[2], FRAME_BYTES))
+        case Kind.ABSENT:
+            return Absent(_mark(row[0]), _text(row[1]))
+        case Kind.BEAT:
+            return Beat(_whole(row[0]))
+        case Kind.REPORT:
+            return Report(_text(row[0]), _whole(row[1]), _whole(row[2]), _list(row[3], _standing))
+        case Kind.ASK_STATUS:
+            return AskStatus(_whole(row[0]))
+        case Kind.STATUS:
+            if not isinstance(row[1], dict):
+                raise Foreign("malformed", "a status that is no map")
+            return Status(_whole(row[0]), row[1])
+        case Kind.PUBLISH:
+            number, scope, body, author, reason, region, if_version, back, *_ = row
+            split_scope(_text(scope, 80))
+            if if_version != -1:
+                _whole(if_version)
+            return Publish(
+                _whole(number),
+                scope,
+                _bytes(body, FRAME_BYTES),
+                _text(author),
+                _text(reason, REASON_BYTES),
+                _text(region),
+                if_version,
+                back is True,
+            )
+        case Kind.PUBLISHED:
+            return Published(_whole(row[0]), _head(row[1]))
+        case Kind.REFUSED:
+            return Refused(_whole(row[0]), _text(row[1], 1_000))
+        case Kind.BYE:
+            return Bye(_text(row[0], WHY_BYTES))
+
+
+def decode(frame: bytes, cluster: int | None) -> Message:
+    """The message of a frame without its length; Foreign for anything else.  cluster None: of any."""
+    if len(frame) < HEAD.size + CRC.size:
+        raise Foreign("malformed", f"a frame of {len(frame)} bytes")
+    magic, wire, kind, named = HEAD.unpack_from(frame)
+    if magic != MAGIC:
+        raise Foreign("magic", "bytes of another protocol")
+    (crc,) = CRC.unpack_from(frame, HEAD.size)
+    body = frame[HEAD.size + CRC.size :]
+    if google_crc32c.extend(google_crc32c.value(frame[: HEAD.size]), body) != crc:
+        raise Foreign("checksum", "a frame whose checksum is wrong")
+    if abs(wire - WIRE) > 1:
+        raise Foreign("wire", f"wire version {wire}, this process speaks {WIRE}")
+    if cluster is not None and named != cluster:
+        raise Foreign("cluster", "a message of another cluster")
+    try:
+        return _message(Kind(kind), msgpack.unpackb(body, max_bin_len=FRAME_BYTES))
+    except Foreign:
+        raise
+    except FeedError as error:
+        raise Foreign("malformed", str(error)) from None
+    except (ValueError, TypeError, IndexError, RecursionError, msgpack.exceptions.UnpackException) as error:
+        kind_word = "kind" if kind not in list(Kind) else "malformed"
+        raise Foreign(kind_word, f"a message that cannot be read: {error}") from None
+
+
+class Reader:
+    """A stream of bytes as messages.  most: bytes of a frame; cluster: its tag, None for any."""
+
+    def __init__(self, cluster: int | None, most: int = FRAME_BYTES) -> None:
+        self._cluster, self._most = cluster, most
+        self._buffer = bytearray()
+        self._broken = False
+
+    def feed(self, data: bytes) -> list[tuple[Message | Foreign, int]]:
+        """The messages that are whole by now, each with the size of its frame in bytes.
+
+        In place of a frame that is none stands why; after one that is `fatal` nothing more is read.
+        """
+        found: list[tuple[Message | Foreign, int]] = []
+        if self._broken:
+            return found
+        self._buffer += data
+        at = 0
+        while len(self._buffer) - at >= LENGTH.size:
+            (size,) = LENGTH.unpack_from(self._buffer, at)
+            item: Message | Foreign
+            if size > self._most:
+                item = Foreign("oversized", f"a frame of {size} bytes, {self._most} at the most")
+                self._broken = True
+                found.append((item, LENGTH.size))
+                break
+            if len(self._buffer) - at < LENGTH.size + size:
+                break
+            start = at + LENGTH.size
+            try:
+                item = decode(bytes(self._buffer[start : start + size]), self._cluster)
+            except Foreign as error:
+                item = error
+            found.append((item, LENGTH.size + size))
+            at = start + size
+            if isinstance(item, Foreign) and item.fatal:
+                self._broken = True
+                break
+        del self._buffer[:at]
+        return found
