feed: follower, hub and status whole in a first form

Heads from two servers, bodies from the nearer and taken over after a second without a byte; beats with a digest, budgets by token buckets, standings merged by counter.

--- a/fawngw/feed/follower.py
+++ b/fawngw/feed/follower.py
@@ -2,35 +2,40 @@
 
 Feed it bytes and times that never go back; `take` what follows.  Links are numbers that it gives out itself
 with each Dial; the carrier connects, says `connected` or `lost`, and passes on what comes as it comes.
+
+Heads come from all servers that are watched, bodies from one (`fetching`).  Each beat carries a digest of the
+versions held, and where digests go on differing the vector is sent again: so no loss lasts.
 """
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
 
-from fawngw.feed.model import Conflict, Document, Head, Interest, Server, Standing, Tuning
+from fawngw.feed.bucket import Bucket
+from fawngw.feed.fetching import Fetches
+from fawngw.feed.messages import Absent, Beat, Body, Bye, Fetch, Heads, Hello, Message, Report
+from fawngw.feed.model import (
+    WHY_BYTES,
+    Conflict,
+    Dial,
+    Document,
+    Event,
+    FeedError,
+    Head,
+    Interest,
+    Server,
+    Standing,
+    State,
+    Tuning,
+    order,
+)
 from fawngw.feed.table import Table
-from fawngw.feed.wire import Foreign, Message
-
-
-@dataclass(frozen=True, slots=True)
-class Dial:
-    """Connect to an address; the link is this number from now on."""
-
-    link: int
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class Event:
-    """Something that a log line should tell; values are plain."""
-
-    kind: str  # linked, lost, whole, taken-over, conflict, dropped, slept, standing
-    at: float  # ms
-    values: dict[str, object]
+from fawngw.feed.watching import Link, Watches
+from fawngw.feed.wire import Foreign, encode, tag
 
 
 @dataclass
@@ -70,49 +75,325 @@
         table: Table | None = None,
         kept: Iterable[Document] = (),
     ) -> None:
-        raise NotImplementedError
+        self.cluster, self.name, self.interest = cluster, name, interest
+        self.tuning = tuning = tuning or Tuning()
+        self.table = Table(tuning) if table is None else table
+        # bytes_in, bytes_out, bodies, fetches, taken_over, coalesced, known, dropped_KIND, dials, lost ...
+        self.counts: Counter[str] = Counter()
+        self._role, self._region, self._zone, self._birth = role, region, zone, birth
+        self._judged, self._rng, self._tag = judged, rng, tag(cluster)
+        rate, saved = tuning.bytes_per_s, tuning.bytes_saved
+        if interest.everything:
+            rate, saved = tuning.relay_bytes_per_s, tuning.relay_bytes_saved
+        self.bucket = Bucket(rate, saved, now)
+        self._watches = Watches(servers, region, zone, rng, self._tag, tuning, now)
+        at_once = tuning.relay_wants if interest.everything else tuning.wants
+        self._fetches = Fetches(
+            self._watches, self.table, self.bucket, self.counts, tuning, at_once, self._ask, self._tell
+        )
+        self._standings: dict[str, Standing] = {}
+        self._in_force: dict[str, Document] = {}
+        self._judging: dict[str, Document] = {}  # handed out and not answered yet
+        self._counter = 0
+        self._closed = False
+        self._now = self._seen = self._due = now
+        self._out = Output()
+        for document in kept:
+            if interest.wants(document.head.scope) and self.table.put(document):
+                self._in_force[document.head.scope] = document
+                self._stand(document.head, State.IN_FORCE if judged else State.HELD, "")
+        self._due = self.next_at()
 
-    # figures: counts["bytes_in"], ["bytes_out"], ["dropped_KIND"], ["bodies"], ["taken_over"], ["dials"] ...
-    counts: Counter[str]
-    table: Table
+    # ------------------------------------------------------------ how it stands
+
+    def in_force(self, scope: str) -> Document | None:
+        """The last good document of a scope."""
+        return self._in_force.get(scope)
+
+    def standings(self) -> list[Standing]:
+        """How this process stands to each document, from the widest scope."""
+        return [self._standings[scope] for scope in order(self._standings)]
+
+    def conflicts(self) -> list[Conflict]:
+        """Two answers to one version that it has seen, and the rule that chose."""
+        return list(self.table.conflicts)
+
+    @property
+    def watched(self) -> list[str]:
+        """Addresses of the servers whose watch is up, the nearest first."""
+        return [link.place.server.address for link in self._watches.open_links() if link.greeted]
+
+    # ------------------------------------------------------------ in and out
 
     def connected(self, link: int, now: float) -> None:
         """A dialled link is up."""
+        now = self._enter(now)
+        found = self._watches.links.get(link)
+        if found is not None and not found.open:
+            found.open, found.since, found.heard = True, now, now
+            found.beat_at = now + self.tuning.beat_ms * (0.5 + 0.5 * self._rng.random())
+            found.vector_at, found.vector_wait = now + self.tuning.vector_ms, self.tuning.vector_ms
+            self._hello(found, now)
+        self._after(now)
 
     def lost(self, link: int, now: float) -> None:
         """A link failed to come up, or is gone; also after a hang-up of one's own (then it says nothing)."""
+        now = self._enter(now)
+        found = self._watches.links.get(link)
+        if found is not None:
+            self._drop(found, now, "failed" if not found.open else "closed", hang_up=False)
+        self._after(now)
 
     def received(self, link: int, data: bytes, now: float) -> None:
         """Bytes came in on a link, in any portions."""
+        now = self._enter(now)
+        found = self._watches.links.get(link)
+        if found is not None and found.open:
+            self.counts["bytes_in"] += len(data)
+            for message, size in found.reader.feed(data):
+                if link not in self._watches.links:
+                    break
+                self._handle(found, message, now, size)
+        self._after(now)
 
     def handle(self, link: int, message: Message | Foreign, now: float, size: int = 0) -> None:
-        """One message, or why there is none; `received` calls it.  size: bytes of its frame."""
+        """One message, or why there is none; `received` does the same.  size: bytes of its frame."""
+        now = self._enter(now)
+        found = self._watches.links.get(link)
+        if found is not None and found.open:
+            self._handle(found, message, now, size)
+        self._after(now)
 
     def tick(self, now: float) -> None:
         """Do what is due."""
+        now = self._enter(now)
+        for link in list(self._watches.links.values()):
+            if now >= self._watches.deadline(link):
+                self._drop(link, now, "silent" if link.greeted else "no answer")
+            elif now >= link.beat_at:
+                link.beat_at = now + self.tuning.beat_ms * (0.9 + 0.1 * self._rng.random())
+                self._send(link, Beat(self.table.digest(self.interest)), now)
+        self._after(now)
 
     def next_at(self) -> float:
         """When `tick` is due next, in ms."""
-        raise NotImplementedError
+        if self._closed:
+            return math.inf
+        return min(self._watches.next_at(), self._fetches.next_at())
+
+    def take(self) -> Output:
+        """All that is to be done since the last call."""
+        out, self._out = self._out, Output()
+        return out
+
+    def close(self, now: float, why: str = "in order") -> None:
+        """Say good-bye on all links and dial no more."""
+        for link in list(self._watches.links.values()):
+            if link.open:
+                self._send(link, Bye(why), now)
+            self._drop(link, now, why)
+        self._closed = True
+
+    def _enter(self, now: float) -> float:
+        """The time to go by: one that never goes back.  After standing still nobody else is to blame."""
+        now = max(now, self._now)
+        if now - self._due > self.tuning.late_ms and math.isfinite(self._due):
+            still = now - self._seen
+            self._watches.shift(still)
+            self._fetches.shift(still)
+            self.counts["slept"] += 1
+            self._tell("slept", now, {"ms": round(still, 1)})
+        self._now = self._seen = now
+        return now
+
+    def _after(self, now: float) -> None:
+        if not self._closed:
+            surplus = self._watches.surplus()
+            if surplus is not None:
+                self._send(surplus, Bye("a nearer one is watched"), now)
+                self._drop(surplus, now, "a nearer one is watched", failed=False)
+            for link in self._watches.dial(now):
+                self.counts["dials"] += 1
+                self._out.dials.append(Dial(link.number, link.place.server.address))
+            self._fetches.tick(now)
+        self._due = self.next_at()
+
+    # ------------------------------------------------------------ links
+
+    def _send(self, link: Link, message: Message, now: float) -> None:
+        frame = encode(message, self._tag)
+        self.counts["bytes_out"] += len(frame)
+        if not isinstance(message, Fetch):  # paid when it was decided upon
+            self.bucket.spend(len(frame), now)
+        self._out.sends.append((link.number, frame))
+
+    def _ask(self, link: Link, fetch: Fetch) -> None:
+        self._send(link, fetch, self._now)
+
+    def _tell(self, kind: str, at: float, values: dict[str, object]) -> None:
+        self._out.events.append(Event(kind, at, values))
+
+    def _hello(self, link: Link, now: float) -> None:
+        interest = self.interest
+        vector = tuple(head.mark for head in self.table.heads(interest))
+        hello = Hello(
+            self.name,
+            self._role,
+            self._region,
+            self._zone,
+            interest.service,
+            interest.everything,
+            self._birth,
+            vector,
+        )
+        self._send(link, hello, now)
+
+    def _drop(self, link: Link, now: float, why: str, hang_up: bool = True, failed: bool = True) -> None:
+        self._watches.drop(link, now, failed)
+        self._fetches.gone(link, now)
+        self.counts["lost" if link.greeted else "unreached"] += 1
+        if hang_up:
+            self._out.hangups.append(link.number)
+        self._tell("lost", now, {"server": link.place.server.address, "why": why})
+
+    def _handle(self, link: Link, message: Message | Foreign, now: float, size: int) -> None:
+        if isinstance(message, Foreign):
+            self._foreign(link, message, now)
+            return
+        link.heard = now
+        if not isinstance(message, Body):  # paid when it was asked for
+            self.bucket.spend(size, now)
+        match message:
+            case Hello():
+                self._greeted(link, message, now)
+            case Heads(heads):
+                for head in heads:
+                    self._offered(link, head, now)
+            case Body():
+                document = self._fetches.piece(link, message, now)
+                if document is not None:
+                    self._whole(link, document, now)
+            case Absent(mark, why):
+                self.counts["absent_" + ("busy" if why == "busy" else "gone")] += 1
+                self._fetches.absent(link, mark.scope, mark.digest, why == "busy", now)
+            case Beat(digest):
+                self._compare(link, digest, now)
+            case Bye(why):
+                self._drop(link, now, f"bye: {why}")
+            case _:
+                self.counts["dropped_unexpected"] += 1
+
+    def _foreign(self, link: Link, error: Foreign, now: float) -> None:
+        """A damaged frame is left out, as what it told comes again; after too many the link is given up."""
+        self.counts[f"dropped_{error.kind}"] += 1
+        self._tell("dropped", now, {"what": error.kind, "server": link.name, "why": str(error)})
+        link.damaged += 1
+        if error.fatal or link.damaged >= self.tuning.damaged:
+            self._drop(link, now, str(error))
+
+    def _greeted(self, link: Link, hello: Hello, now: float) -> None:
+        if hello.birth == self._birth and hello.name == self.name:
+            link.place.failures = 16  # its own hub
+            self._drop(link, now, "this process itself")
+            return
+        if not link.greeted:
+            link.greeted, link.name = True, hello.name
+            self._tell("linked", now, {"server": hello.name, "address": link.place.server.address})
+            if self._standings:
+                self._send(link, self._report(self.standings()), now)
+
+    def _compare(self, link: Link, digest: int, now: float) -> None:
+        """Digests that go on differing: one of the two lacks something.  Ask less and less often."""
+        if digest == self.table.digest(self.interest):
+            link.vector_wait = self.tuning.vector_ms
+        elif now >= link.vector_at and not any(s in self._fetches.wants for s in link.offers):
+            link.vector_at = now + link.vector_wait
+            link.vector_wait = min(2.0 * link.vector_wait, self.tuning.vector_most_ms)
+            self.counts["vectors"] += 1
+            self._hello(link, now)
+
+    # ------------------------------------------------------------ documents
+
+    def _offered(self, link: Link, head: Head, now: float) -> None:
+        if not self.interest.wants(head.scope):
+            self.counts["dropped_unwanted"] += 1
+            return
+        conflict = self.table.compare(head)
+        if conflict is not None:
+            self._conflict(conflict, now)
+        if self._fetches.offered(link, head, now):
+            link.vector_wait = self.tuning.vector_ms
+
+    def _conflict(self, conflict: Conflict, now: float) -> None:
+        self.counts["conflicts"] += 1
+        kept, dropped = conflict.kept, conflict.dropped
+        self._tell(
+            "conflict",
+            now,
+            {
+                "scope": kept.scope,
+                "era": kept.era,
+                "kept": [kept.version, kept.writer],
+                "dropped": [dropped.version, dropped.writer],
+                "rule": conflict.rule,
+            },
+        )
+
+    def _whole(self, link: Link, document: Document, now: float) -> None:
+        head = document.head
+        try:
+            taken = self.table.put(document)
+        except FeedError as error:
+            self.counts["dropped_full"] += 1
+            self._tell("dropped", now, {"what": "full", "scope": head.scope, "why": str(error)})
+            self._fetches.forget(head.scope, head)
+            return
+        if not taken:
+            self.counts["dropped_older"] += 1
+            return
+        self._tell("whole", now, {"scope": head.scope, "version": head.version, "server": link.name})
+        if not self._judged:
+            self._out.apply.append(document)
+            self._stand(head, State.HELD, "")
+            self._report_all(head.scope, now)
+        elif head.scope not in self._judging:
+            self._judging[head.scope] = document
+            self._out.apply.append(document)
 
     def applied(self, scope: str, head: Head, refused: str, now: float) -> None:
         """The answer to a document handed out: in force where `refused` is "", else why not, in one line."""
+        now = self._enter(now)
+        document = self._judging.get(scope)
+        if document is None or document.head != head:
+            return
+        del self._judging[scope]
+        if refused:
+            self.counts["refused"] += 1
+        else:
+            self._in_force[scope] = document
+        self._stand(head, State.REFUSED if refused else State.IN_FORCE, _short(refused))
+        self._tell("standing", now, {"scope": scope, "version": head.version, "refused": _short(refused)})
+        newest = self.table.get(scope)
+        if newest is not None and newest.head.rank > head.rank:  # came meanwhile
+            self._judging[scope] = newest
+            self._out.apply.append(newest)
+        self._report_all(scope, now)
+        self._after(now)
 
-    def in_force(self, scope: str) -> Document | None:
-        """The last good document of a scope."""
-        raise NotImplementedError
+    def _stand(self, head: Head, state: State, why: str) -> None:
+        self._standings[head.scope] = Standing(head.mark, state, why)
+        self._counter += 1
 
-    def standings(self) -> list[Standing]:
-        """How this process stands to each document, from the widest scope."""
-        raise NotImplementedError
+    def _report_all(self, scope: str, now: float) -> None:
+        report = self._report([self._standings[scope]])
+        for link in self._watches.open_links():
+            if link.greeted:
+                self._send(link, report, now)
 
-    def conflicts(self) -> list[Conflict]:
-        """Two answers to one version that it has seen, and the rule that chose."""
-        raise NotImplementedError
+    def _report(self, standings: list[Standing]) -> Report:
+        return Report(self.name, self._birth, self._counter, tuple(standings))
 
-    def close(self, now: float, why: str = "in order") -> None:
-        """Say good-bye on all links and dial no more."""
 
-    def take(self) -> Output:
-        """All that is to be done since the last call."""
-        raise NotImplementedError
+def _short(why: str) -> str:
+    """As much of a reason as a report carries."""
+    return why.encode()[:WHY_BYTES].decode(errors="ignore")
--- a/fawngw/feed/hub.py
+++ b/fawngw/feed/hub.py
@@ -1,18 +1,40 @@
 """The serving side, of relays and publishers: heads to all that watch, bodies on demand, standings collected.
 
 Without I/O.  Links are numbers of the carrier's choice, one for each connection that it accepted; they have
-nothing to do with those of a follower.
+nothing to do with those of a follower.  What a hub sends is bounded twice: for each link by a part of its
+follower's budget, and in all by its own; bodies are served to a few links at once, and others queue.
 """
 
 from __future__ import annotations
 
-from collections import Counter
+import math
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
-from fawngw.feed.follower import Event
-from fawngw.feed.model import Document, Tuning
+from fawngw.feed.bucket import Bucket
+from fawngw.feed.messages import (
+    Absent,
+    AskStatus,
+    Beat,
+    Body,
+    Bye,
+    Fetch,
+    Heads,
+    Hello,
+    Message,
+    Publish,
+    Refused,
+    Report,
+    Status,
+)
+from fawngw.feed.model import Document, Event, Head, Interest, Tuning, scopes_of
+from fawngw.feed.status import Wall, hub_status
 from fawngw.feed.table import Table
-from fawngw.feed.wire import Foreign, Message, Publish
+from fawngw.feed.wire import HEADS, Foreign, Reader, encode, tag
+
+SLICES = 8  # a beat goes to an eighth of the links at a time
+JOBS = 64  # fetches of one link that wait
+LEAST_FRAME = 524_288  # a vector of all scopes fits
 
 
 @dataclass
@@ -25,6 +47,22 @@
     events: list[Event] = field(default_factory=list)
 
 
+@dataclass(slots=True, eq=False)
+class Watch:
+    """A connection that was accepted; `hello` once it is a follower's."""
+
+    number: int
+    reader: Reader
+    heard: float
+    bucket: Bucket
+    hello: Hello | None = None
+    interest: Interest = field(default_factory=Interest)
+    pending: dict[str, Head] = field(default_factory=dict)  # to be told; a newer one replaces an older one
+    jobs: deque[Fetch] = field(default_factory=deque)
+    blocked_at: float = math.inf
+    queued: bool = False  # it stands in a queue of the hub
+
+
 class Hub:
     """Serves a table of documents.  publishes: whether Publish is passed on, or refused with `instead`."""
 
@@ -43,50 +81,316 @@
         now: float,
         tuning: Tuning | None = None,
     ) -> None:
-        raise NotImplementedError
+        self.cluster, self.name, self.role, self.region, self.zone = cluster, name, role, region, zone
+        self.table, self.tuning = table, tuning or Tuning()
+        # bytes_in, bytes_out, bodies_out, followers, busy, dropped_KIND ...
+        self.counts: Counter[str] = Counter()
+        self._publishes, self._instead, self._birth = publishes, instead, birth
+        self._tag = tag(cluster)
+        self._watches: dict[int, Watch] = {}
+        self._by_scope: dict[str, dict[int, Watch]] = {}
+        self._everything: dict[int, Watch] = {}
+        self._waiting: deque[Watch] = deque()  # with jobs; in the order they came
+        self._parked: dict[int, Watch] = {}  # something to send, and no tokens or a full socket
+        self._parked_at = math.inf
+        self._bucket = Bucket(self.tuning.hub_bytes_per_s, self.tuning.hub_bytes_saved, now)
+        self.wall = Wall(2 * self.tuning.followers)
+        self._slice_ms = self.tuning.beat_ms / SLICES
+        self._slice, self._slice_at = 0, now + self._slice_ms
+        self._now = self._seen = now
+        self._closed = False
+        self._out = Output()
+
+    # ------------------------------------------------------------ in and out
 
-    counts: Counter[str]
+    @property
+    def followers(self) -> int:
+        """Links that watch."""
+        return sum(watch.hello is not None for watch in self._watches.values())
 
     def accepted(self, link: int, now: float) -> None:
         """A connection came in."""
+        now = self._enter(now)
+        if self._closed or len(self._watches) >= self.tuning.followers:
+            self.counts["turned_away"] += 1
+            self._out.sends.append((link, encode(Bye("full"), self._tag)))
+            self._out.hangups.append(link)
+            return
+        tuning = self.tuning
+        reader = Reader(self._tag, max(tuning.document_bytes + 65_536, LEAST_FRAME))
+        bucket = Bucket(tuning.link_bytes_per_s, tuning.link_bytes_saved, now)
+        self._watches[link] = Watch(link, reader, now, bucket)
 
     def lost(self, link: int, now: float) -> None:
         """A connection is gone."""
+        now = self._enter(now)
+        watch = self._watches.pop(link, None)
+        if watch is None:
+            return
+        self._unindex(watch)
+        self._parked.pop(link, None)
+        watch.jobs.clear()
+        watch.pending.clear()
+        if watch.hello is not None:
+            self.wall.unlinked(watch.hello.name, link, now)
+            self._tell("lost", now, {"follower": watch.hello.name})
 
     def blocked(self, link: int, blocked: bool, now: float) -> None:
-        """The link's socket takes no more for now (the transport's buffer is over its limit), or does again."""
+        """The link's socket takes no more for now (its buffer is over the limit), or does again."""
+        now = self._enter(now)
+        watch = self._watches.get(link)
+        if watch is not None:
+            watch.blocked_at = min(watch.blocked_at, now) if blocked else math.inf
+            if not blocked:
+                self._wake(watch)
+                self._pump(now)
 
     def received(self, link: int, data: bytes, now: float) -> None:
         """Bytes came in on a link, in any portions."""
+        now = self._enter(now)
+        watch = self._watches.get(link)
+        if watch is not None:
+            self.counts["bytes_in"] += len(data)
+            for message, size in watch.reader.feed(data):
+                if link not in self._watches:
+                    break
+                self._handle(watch, message, now, size)
+            self._pump(now)
 
     def handle(self, link: int, message: Message | Foreign, now: float, size: int = 0) -> None:
-        """One message, or why there is none; `received` calls it.  size: bytes of its frame."""
+        """One message, or why there is none; `received` does the same.  size: bytes of its frame."""
+        now = self._enter(now)
+        watch = self._watches.get(link)
+        if watch is not None:
+            self._handle(watch, message, now, size)
+            self._pump(now)
 
     def answer(self, link: int, message: Message, now: float) -> None:
         """Answer a request: Published or Refused.  A link that is gone by now is no error."""
+        if link in self._watches:
+            self._send(self._watches[link], message, self._enter(now))
 
     def announce(self, document: Document, now: float) -> bool:
-        """Hold a document and tell all that watch its scope; False where it is no news to the table.
+        """Hold a document and tell all that watch its scope; False where the table holds a newer one.
 
         A document that a Follower with the same table brought in is told all the same.
         FeedError where it cannot be held.
         """
-        raise NotImplementedError
+        now = self._enter(now)
+        head = document.head
+        held = self.table.get(head.scope)
+        if (held is None or held.head != head) and not self.table.put(document):
+            return False
+        frame = encode(Heads((head,)), self._tag)
+        for group in (self._by_scope.get(head.scope, {}), self._everything):
+            for watch in group.values():
+                if not watch.pending and self._may_send(watch, now):
+                    self._send_frame(watch, frame, now)
+                else:
+                    watch.pending[head.scope] = head
+                    self._park(watch, now)
+        return True
 
     def tick(self, now: float) -> None:
         """Do what is due."""
+        now = self._enter(now)
+        if now >= self._slice_at:
+            self._beat(now)
+        if now >= self._parked_at:
+            for watch in list(self._parked.values()):
+                self._wake(watch)
+        self._pump(now)
 
     def next_at(self) -> float:
         """When `tick` is due next, in ms."""
-        raise NotImplementedError
+        return math.inf if self._closed else min(self._slice_at, self._parked_at)
 
     def status(self, now: float) -> dict[str, object]:
         """What is held, who watches, how they stand and which conflicts were seen; see `status.merge`."""
-        raise NotImplementedError
+        return hub_status(
+            self.name, self.role, self.region, self.zone, self.table, self.wall, self.counts, now
+        )
 
     def close(self, now: float, why: str = "in order") -> None:
         """Say good-bye on all links."""
+        for watch in list(self._watches.values()):
+            self._send(watch, Bye(why), now)
+            self._hang_up(watch, now, why)
+        self._closed = True
 
     def take(self) -> Output:
         """All that is to be done since the last call."""
-        raise NotImplementedError
+        out, self._out = self._out, Output()
+        return out
+
+    def _enter(self, now: float) -> float:
+        """The time to go by: one that never goes back.  After standing still no follower is to blame."""
+        now = max(now, self._now)
+        if now - self.next_at() > self.tuning.late_ms:
+            for watch in self._watches.values():
+                watch.heard += now - self._seen
+            self.counts["slept"] += 1
+        self._now = self._seen = now
+        return now
+
+    def _tell(self, kind: str, at: float, values: dict[str, object]) -> None:
+        self._out.events.append(Event(kind, at, values))
+
+    # ------------------------------------------------------------ messages
+
+    def _handle(self, watch: Watch, message: Message | Foreign, now: float, size: int) -> None:
+        if isinstance(message, Foreign):
+            # A follower that comes back tells all again; what a damaged frame told would be missed.
+            self.counts[f"dropped_{message.kind}"] += 1
+            self._tell("dropped", now, {"what": message.kind, "why": str(message)})
+            self._hang_up(watch, now, str(message))
+            return
+        watch.heard = now
+        match message:
+            case Hello():
+                self._greet(watch, message, now)
+            case Beat() if watch.hello is not None:
+                self.wall.heard(watch.hello.name, now)
+            case Fetch() if watch.hello is not None:
+                if len(watch.jobs) >= JOBS or len(self._waiting) >= self.tuning.queue:
+                    self.counts["busy"] += 1
+                    self._send(watch, Absent(message.mark, "busy"), now)
+                else:
+                    watch.jobs.append(message)
+                    self._wake(watch)
+            case Report(name) if watch.hello is not None and name == watch.hello.name:
+                self.wall.report(message, now)
+            case AskStatus(number):
+                self._send(watch, Status(number, self.status(now)), now)
+            case Publish(number):
+                if self._publishes:
+                    self._out.requests.append((watch.number, message))
+                else:
+                    self._send(watch, Refused(number, self._instead), now)
+            case Bye(why):
+                self._hang_up(watch, now, why)
+            case _:
+                self.counts["dropped_unexpected"] += 1
+                self._hang_up(watch, now, "a message out of place")
+
+    def _greet(self, watch: Watch, hello: Hello, now: float) -> None:
+        tuning = self.tuning
+        if watch.hello is None:
+            node = hello.name if hello.role == "node" else ""
+            watch.hello = hello
+            watch.interest = Interest(hello.region, hello.service, node, hello.everything)
+            if hello.everything:
+                watch.bucket = Bucket(tuning.relay_bytes_per_s, tuning.relay_bytes_saved, now)
+                self._everything[watch.number] = watch
+            else:
+                for scope in scopes_of(hello.region, hello.service, node):
+                    self._by_scope.setdefault(scope, {})[watch.number] = watch
+            self.counts["followers"] += 1
+            self.wall.linked(hello, watch.number, now)
+            self._send(watch, Hello(self.name, self.role, self.region, self.zone, birth=self._birth), now)
+            self._tell("linked", now, {"follower": hello.name, "role": hello.role})
+        watch.pending = {head.scope: head for head in self.table.newer(watch.interest, hello.vector)}
+        self._wake(watch)
+
+    def _unindex(self, watch: Watch) -> None:
+        self._everything.pop(watch.number, None)
+        interest = watch.interest
+        for scope in scopes_of(interest.region, interest.service, interest.node):
+            group = self._by_scope.get(scope)
+            if group is not None:
+                group.pop(watch.number, None)
+                if not group:
+                    del self._by_scope[scope]
+
+    def _hang_up(self, watch: Watch, now: float, why: str) -> None:
+        self._out.hangups.append(watch.number)
+        self.lost(watch.number, now)
+
+    # ------------------------------------------------------------ sending
+
+    def _send(self, watch: Watch, message: Message, now: float) -> None:
+        self._send_frame(watch, encode(message, self._tag), now)
+
+    def _send_frame(self, watch: Watch, frame: bytes, now: float) -> None:
+        watch.bucket.spend(len(frame), now)
+        self._bucket.spend(len(frame), now)
+        self.counts["bytes_out"] += len(frame)
+        self._out.sends.append((watch.number, frame))
+
+    def _may_send(self, watch: Watch, now: float) -> bool:
+        if not math.isinf(watch.blocked_at):
+            return False
+        return self._bucket.refill(now) > 0.0 and watch.bucket.refill(now) > 0.0
+
+    def _wake(self, watch: Watch) -> None:
+        """Something is to be sent on this link: it takes its place in the queue."""
+        self._parked.pop(watch.number, None)
+        if not watch.queued and (watch.jobs or watch.pending):
+            watch.queued = True
+            self._waiting.append(watch)
+
+    def _park(self, watch: Watch, now: float) -> None:
+        """It cannot be sent now."""
+        if not watch.queued:
+            self._parked[watch.number] = watch
+            if math.isinf(watch.blocked_at):
+                self._parked_at = min(self._parked_at, self._ready_at(watch, now))
+
+    def _ready_at(self, watch: Watch, now: float) -> float:
+        return max(self._bucket.when(1.0, now), watch.bucket.when(1.0, now), now + 1.0)
+
+    def _pump(self, now: float) -> None:
+        """Serve the queue: a few links in turn, a piece each, as long as the tokens last."""
+        serving: deque[Watch] = deque()
+        while serving or self._waiting:
+            while self._waiting and len(serving) < self.tuning.fetches:
+                serving.append(self._waiting.popleft())
+            watch = serving.popleft()
+            if watch.number not in self._watches:
+                continue
+            if not self._may_send(watch, now):
+                watch.queued = False
+                self._park(watch, now)
+                continue
+            self._serve(watch, now)
+            if watch.jobs or watch.pending:
+                serving.append(watch)
+            else:
+                watch.queued = False
+        self._parked_at = math.inf
+        for watch in self._parked.values():
+            if math.isinf(watch.blocked_at):
+                self._parked_at = min(self._parked_at, self._ready_at(watch, now))
+
+    def _serve(self, watch: Watch, now: float) -> None:
+        """One frame: heads go before bodies."""
+        if watch.pending:
+            scopes = list(watch.pending)[:HEADS]
+            self._send(watch, Heads(tuple(watch.pending.pop(scope) for scope in scopes)), now)
+            return
+        job = watch.jobs.popleft()
+        held = self.table.get(job.mark.scope)
+        if held is None or held.head.mark != job.mark or job.offset > held.head.size:
+            self.counts["gone"] += 1
+            self._send(watch, Absent(job.mark, "gone"), now)
+            return
+        length = min(job.length, held.head.size - job.offset)
+        piece = held.body[job.offset : job.offset + min(length, self.tuning.piece_bytes)]
+        self._send(watch, Body(job.mark, job.offset, piece), now)
+        if len(piece) < length:
+            watch.jobs.appendleft(Fetch(job.mark, job.offset + len(piece), length - len(piece)))
+        else:
+            self.counts["bodies_out"] += 1
+
+    def _beat(self, now: float) -> None:
+        """A beat to a part of the links; those that say or take nothing any more are dropped."""
+        self._slice = (self._slice + 1) % SLICES
+        self._slice_at = max(self._slice_at + self._slice_ms, now + 0.5 * self._slice_ms)
+        tuning = self.tuning
+        for watch in [w for w in self._watches.values() if w.number % SLICES == self._slice]:
+            if now - watch.heard > tuning.follower_silent_ms:
+                self._hang_up(watch, now, "silent")
+            elif now - watch.blocked_at > tuning.follower_silent_ms:
+                self._hang_up(watch, now, "takes nothing")
+            elif watch.hello is not None and math.isinf(watch.blocked_at):
+                self._send(watch, Beat(self.table.digest(watch.interest)), now)
--- a/fawngw/feed/model.py
+++ b/fawngw/feed/model.py
@@ -128,6 +128,7 @@
 class State(StrEnum):
     """How a node stands to a document."""
 
+    HELD = "held"  # by a relay or publisher, which passes it on and judges nothing
     IN_FORCE = "in force"
     REFUSED = "refused"  # the last good one stays in force
 
@@ -173,6 +174,23 @@
     tier: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Dial:
+    """Connect to an address; the link is this number from now on."""
+
+    link: int
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Something that a log line should tell; values are plain."""
+
+    kind: str  # linked, lost, whole, taken_over, conflict, dropped, slept, standing
+    at: float  # ms
+    values: dict[str, object]
+
+
 @dataclass(frozen=True, slots=True)
 class Tuning:
     """Times in ms and bounds, for followers and hubs; the figures are measured in docs/feed.md."""
--- /dev/null
+++ b/fawngw/feed/status.py
@@ -0,0 +1,186 @@
+"""Who has what: what a hub knows of its followers, and how the answers of several hubs are put together."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from fawngw.feed.messages import Hello, Report
+from fawngw.feed.model import Head, Standing
+from fawngw.feed.table import Table
+
+
+@dataclass(slots=True)
+class Told:
+    """What a follower said of itself; times in ms of the hub's clock."""
+
+    hello: Hello
+    heard: float
+    link: int | None
+    counter: int = 0
+    rows: dict[str, tuple[Standing, float]] = field(default_factory=dict)  # and since when
+
+
+class Wall:
+    """The standings of many followers, bounded: those gone longest are forgotten first."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self.told: dict[str, Told] = {}
+
+    def linked(self, hello: Hello, link: int, now: float) -> None:
+        """A follower is here, for the first time or again."""
+        told = self.told.pop(hello.name, None)
+        if told is None or told.hello.birth != hello.birth:
+            told = Told(hello, now, link)
+        told.hello, told.link, told.heard = hello, link, now
+        self.told[hello.name] = told
+        if len(self.told) > self._most:
+            gone = [name for name, other in self.told.items() if other.link is None]
+            oldest = min(gone or list(self.told)[:1], key=lambda name: self.told[name].heard)
+            del self.told[oldest]
+
+    def unlinked(self, name: str, link: int, now: float) -> None:
+        """Its link is gone; what it said last is kept."""
+        told = self.told.get(name)
+        if told is not None and told.link == link:
+            told.link = None
+
+    def heard(self, name: str, now: float) -> None:
+        """It lives."""
+        told = self.told.get(name)
+        if told is not None:
+            told.heard = now
+
+    def report(self, report: Report, now: float) -> None:
+        """How it stands; a report that is older than the last one, or another process's, is left out."""
+        told = self.told.get(report.name)
+        if told is None or told.hello.birth != report.birth or report.counter < told.counter:
+            return
+        told.counter, told.heard = report.counter, now
+        for standing in report.standings:
+            old = told.rows.get(standing.mark.scope)
+            since = old[1] if old is not None and old[0] == standing else now
+            told.rows[standing.mark.scope] = standing, since
+
+
+def _head_map(head: Head) -> dict[str, Any]:
+    return {
+        "scope": head.scope,
+        "era": head.era,
+        "version": head.version,
+        "digest": head.digest[:8].hex(),
+        "size": head.size,
+        "author": head.author,
+        "reason": head.reason,
+        "writer": head.writer,
+    }
+
+
+def hub_status(
+    name: str,
+    role: str,
+    region: str,
+    zone: str,
+    table: Table,
+    wall: Wall,
+    counts: Mapping[str, int],
+    now: float,
+) -> dict[str, Any]:
+    """A hub's answer, of plain values."""
+    return {
+        "name": name,
+        "role": role,
+        "region": region,
+        "zone": zone,
+        "heads": [_head_map(document.head) for document in table.documents.values()],
+        "conflicts": [
+            {"kept": _head_map(c.kept), "dropped": _head_map(c.dropped), "rule": c.rule}
+            for c in table.conflicts
+        ],
+        "followers": [
+            {
+                "name": told.hello.name,
+                "role": told.hello.role,
+                "region": told.hello.region,
+                "zone": told.hello.zone,
+                "service": told.hello.service,
+                "birth": told.hello.birth,
+                "counter": told.counter,
+                "age_ms": round(now - told.heard, 1),
+                "linked": told.link is not None,
+                "standings": [
+                    {
+                        "scope": s.mark.scope,
+                        "era": s.mark.era,
+                        "version": s.mark.version,
+                        "digest": s.mark.digest.hex(),
+                        "state": str(s.state),
+                        "why": s.why,
+                        "since_ms": round(now - since, 1),
+                    }
+                    for s, since in told.rows.values()
+                ],
+            }
+            for told in wall.told.values()
+        ],
+        "counts": dict(counts),
+    }
+
+
+def merge(statuses: Iterable[Mapping[str, Any]]) -> dict[str, Any]:
+    """One picture from the answers of several hubs.
+
+    Of a follower that several tell of, the report with the higher counter holds; of two processes of one name
+    the one that was heard last.  Keys: `heads` by scope (the highest), `conflicts`, `followers` by name, each
+    with `lags` (scopes in which it holds less than the highest head told) and `refused` (scope to reason).
+    """
+    statuses = list(statuses)
+    heads: dict[str, dict[str, Any]] = {}
+    conflicts: list[Any] = []
+    followers: dict[str, dict[str, Any]] = {}
+    for status in statuses:
+        for head in status["heads"]:
+            held = heads.get(head["scope"])
+            if held is None or _rank(head) > _rank(held):
+                heads[head["scope"]] = dict(head)
+        conflicts += [c for c in status["conflicts"] if c not in conflicts]
+        for one in status["followers"]:
+            held = followers.get(one["name"])
+            if held is None or _later(one, held):
+                linked = bool(held and held["linked"] and held["birth"] == one["birth"])
+                followers[one["name"]] = {**one, "linked": one["linked"] or linked}
+            elif held["birth"] == one["birth"]:
+                held["linked"] = held["linked"] or one["linked"]
+                held["age_ms"] = min(held["age_ms"], one["age_ms"])
+    for one in followers.values():
+        rows = {row["scope"]: row for row in one["standings"]}
+        one["lags"] = [
+            scope
+            for scope, head in sorted(heads.items())
+            if _meant(scope, one) and (scope not in rows or _behind(rows[scope], head))
+        ]
+        one["refused"] = {s: row["why"] for s, row in sorted(rows.items()) if row["state"] == "refused"}
+    return {"heads": heads, "conflicts": conflicts, "followers": dict(sorted(followers.items()))}
+
+
+def _rank(head: Mapping[str, Any]) -> tuple[int, int, str, str]:
+    return head["era"], head["version"], head["writer"], head["digest"]
+
+
+def _later(one: Mapping[str, Any], held: Mapping[str, Any]) -> bool:
+    if one["birth"] == held["birth"]:
+        return bool((one["counter"], -one["age_ms"]) > (held["counter"], -held["age_ms"]))
+    return bool(one["age_ms"] < held["age_ms"])
+
+
+def _behind(row: Mapping[str, Any], head: Mapping[str, Any]) -> bool:
+    return bool((row["era"], row["version"], row["digest"]) != (head["era"], head["version"], head["digest"]))
+
+
+def _meant(scope: str, one: Mapping[str, Any]) -> bool:
+    if one["role"] != "node":
+        return True
+    meant = ("all", f"region/{one['region']}", f"service/{one['service']}", f"node/{one['name']}")
+    return scope in meant
--- a/fawngw/feed/wire.py
+++ b/fawngw/feed/wire.py
@@ -7,13 +7,28 @@
 
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any, TypeVar
 
 import google_crc32c
 import msgpack
 
+from fawngw.feed.messages import (
+    Absent,
+    AskStatus,
+    Beat,
+    Body,
+    Bye,
+    Fetch,
+    Heads,
+    Hello,
+    Message,
+    Publish,
+    Published,
+    Refused,
+    Report,
+    Status,
+)
 from fawngw.feed.model import (
     NAME_BYTES,
     PREFIX,
@@ -69,137 +84,6 @@
         self.fatal = kind in ("magic", "wire", "cluster", "oversized")
 
 
-@dataclass(frozen=True, slots=True)
-class Hello:
-    """The first message of either side, and again a follower's whenever digests differ: what it holds."""
-
-    name: str
-    role: str  # node, relay or publisher
-    region: str = ""
-    zone: str = ""
-    service: str = ""
-    everything: bool = False  # it follows all scopes
-    birth: int = 0  # random, tells two processes of one name apart
-    vector: tuple[Mark, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Heads:
-    """Documents that the server holds and the follower does not, as far as the server knows."""
-
-    heads: tuple[Head, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Fetch:
-    """Send these bytes of a body."""
-
-    mark: Mark
-    offset: int
-    length: int
-
-
-@dataclass(frozen=True, slots=True)
-class Body:
-    """A piece of a body."""
-
-    mark: Mark
-    offset: int
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Absent:
-    """A fetch that is not answered: the server holds another document by now, or has too much to do."""
-
-    mark: Mark
-    why: str  # "gone" or "busy"
-
-
-@dataclass(frozen=True, slots=True)
-class Beat:
-    """Alive; and the digest of the versions held among those that the follower watches."""
-
-    digest: int
-
-
-@dataclass(frozen=True, slots=True)
-class Report:
-    """How a follower stands to its documents; of two reports of one birth the higher counter is the later."""
-
-    name: str
-    birth: int
-    counter: int
-    standings: tuple[Standing, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class AskStatus:
-    """Tell what is held here, who watches, and how they stand."""
-
-    number: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Status:
-    """The answer: a map as `status.py` writes and reads it."""
-
-    number: int
-    value: dict[str, Any]
-
-
-@dataclass(frozen=True, slots=True)
-class Publish:
-    """Publish a body, or with `back` the body before the one in force, as a new version."""
-
-    number: int
-    scope: str
-    body: bytes
-    author: str
-    reason: str
-    region: str = ""  # for the first publish of a node's scope: the region that it is configured for
-    if_version: int = -1  # publish only if this is the version now, 0: if there is none; -1: in any case
-    back: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Published:
-    """Durable: kept through a crash from now on."""
-
-    number: int
-    head: Head
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """A request that is not met, and why, in one line."""
-
-    number: int
-    why: str
-
-
-@dataclass(frozen=True, slots=True)
-class Bye:
-    """An orderly end of the link: no failure of either side."""
-
-    why: str = ""
-
-
-Message = (
-    Hello
-    | Heads
-    | Fetch
-    | Body
-    | Absent
-    | Beat
-    | Report
-    | AskStatus
-    | Status
-    | Publish
-    | Published
-    | Refused
-    | Bye
-)
 T = TypeVar("T")
 
 
