--- /dev/null
+++ b/fawngw/lab/feedsim.py
@@ -0,0 +1,312 @@
+"""Configuration for a fleet in simulated time: how long a change takes to be in force, in calm and troubles.
+
+The fleet stands as the operators' target does: 2 regions with 4 and 3 zones, 76 services of skewed sizes, a
+relay in each zone and a publisher in each region.  Equal arguments give an equal run.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+
+from fawngw.feed.model import FeedError, Server, Tuning
+from fawngw.lab.feedledger import Publishing
+from fawngw.lab.feednet import Weather
+from fawngw.lab.feedworld import World
+
+ZONES = (("east", ("e1", "e2", "e3", "e4")), ("west", ("w1", "w2", "w3")))
+SERVICES = 76
+BODY = 2_000  # bytes of a change
+WARM_MS = 15_000.0
+WINDOW_S = 10  # the busiest such stretch is shown beside the mean
+
+
+class Fleet:
+    """Publishers, relays and nodes in one world."""
+
+    def __init__(
+        self, nodes: int, seed: int, weather: Weather | None = None, tuning: Tuning | None = None
+    ) -> None:
+        self.world = World(seed, weather, tuning)
+        self.ledger = Publishing(self.world)
+        self.rng = random.Random(seed)
+        self.zones = [(region, zone) for region, zones in ZONES for zone in zones]
+        at = {f"p-{region}": f"10.0.{i}.1:7000" for i, (region, _) in enumerate(ZONES)}
+        at |= {f"r-{zone}": f"10.0.{len(ZONES) + i}.1:7000" for i, (_, zone) in enumerate(self.zones)}
+        home = {region: zones[0] for region, zones in ZONES}
+        relays = {zone: Server(at[f"r-{zone}"], region, zone) for region, zone in self.zones}
+        publishers = {region: Server(at[f"p-{region}"], region, home[region]) for region, _ in ZONES}
+        for region, _ in ZONES:
+            others = tuple(server for name, server in publishers.items() if name != region)
+            self.world.add(f"p-{region}", "publisher", region, home[region], others)
+        for region, zone in self.zones:
+            above = [publishers[region]]
+            above += [Server(p.address, p.region, p.zone, 1) for r, p in publishers.items() if r != region]
+            above += [Server(r.address, r.region, r.zone, 2) for z, r in relays.items() if z != zone]
+            self.world.add(f"r-{zone}", "relay", region, zone, tuple(above))
+        for name, address in at.items():
+            assert self.world.specs[name].address == address
+        sizes = [1.0 / (k + 1) for k in range(SERVICES)]
+        self.nodes: list[str] = []
+        for i in range(nodes):
+            region, zone = self.zones[i % len(self.zones)]
+            service = f"s{self.rng.choices(range(SERVICES), sizes)[0]}"
+            name = f"n{i}"
+            self.world.add(name, "node", region, zone, tuple(relays.values()), service)
+            self.nodes.append(name)
+
+    def in_zone(self, zone: str) -> list[str]:
+        """All processes of a zone."""
+        return [name for name, spec in self.world.specs.items() if spec.zone == zone]
+
+    def body(self, size: int = BODY) -> bytes:
+        """The body of a change, no two alike."""
+        return self.rng.randbytes(size)
+
+    def publish(self, scope: str, by: str = "p-east", size: int = BODY, crash: str = "") -> None:
+        """A change, now."""
+        self.ledger.publish(by, scope, self.body(size), crash=crash)
+
+    def scope(self) -> tuple[str, str]:
+        """A scope for a change of an ordinary day, and its publisher: a half concerns all nodes."""
+        region, _ = ZONES[self.rng.randrange(len(ZONES))]
+        kind = self.rng.choice(("all", "all", "all", "region", "service", "node"))
+        if kind == "all":
+            return "all", "p-east"
+        if kind == "region":
+            return f"region/{region}", f"p-{region}"
+        node = self.world.specs[self.rng.choice(self.nodes)]
+        return (
+            (f"service/{node.service}", "p-east")
+            if kind == "service"
+            else (f"node/{node.name}", f"p-{node.region}")
+        )
+
+    def day(self, count: int, over_ms: float) -> None:
+        """So many changes of an ordinary day, spread evenly from now on."""
+        for i in range(count):
+            scope, by = self.scope()
+            self.world.engine.after(over_ms * (i + 1) / count, self.publish, scope, by)
+
+
+@dataclass
+class Meter:
+    """Bytes of each process second by second."""
+
+    fleet: Fleet
+    series: dict[str, list[int]] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Look at each second from now on."""
+        self._look()
+
+    def _look(self) -> None:
+        world = self.fleet.world
+        for name in world.specs:
+            self.series.setdefault(name, []).append(world.traffic(name))
+        world.engine.after(1_000.0, self._look)
+
+    def rates(self, role: str) -> tuple[float, float, float]:
+        """Bytes a second of the processes of a role: mean, mean of the busiest, and its busiest stretch."""
+        means, most = [], 0.0
+        for name, spec in self.fleet.world.specs.items():
+            if spec.role == role:
+                seen = self.series[name]
+                means.append((seen[-1] - seen[0]) / (len(seen) - 1))
+                width = min(WINDOW_S, len(seen) - 1)
+                steps = [b - a for a, b in zip(seen, seen[width:], strict=False)]
+                most = max(most, max(steps) / width)
+        return float(np.mean(means)), max(means), most
+
+
+Case = Callable[[Fleet], None]
+
+
+def _calm(fleet: Fleet) -> None:
+    fleet.day(24, 48_000.0)
+    fleet.world.run(60_000.0)
+
+
+def _burst(fleet: Fleet) -> None:
+    for i in range(100):
+        fleet.world.engine.after(600.0 * i, fleet.publish, "all")
+    fleet.world.run(80_000.0)
+
+
+def _burst_mixed(fleet: Fleet) -> None:
+    fleet.day(100, 60_000.0)
+    fleet.world.run(80_000.0)
+
+
+def _relay(fleet: Fleet, trouble: Callable[[], None]) -> None:
+    fleet.day(24, 48_000.0)
+    fleet.world.engine.after(12_050.0, trouble)
+    fleet.world.engine.after(12_060.0, fleet.publish, "all")
+    fleet.world.run(75_000.0)
+
+
+def _relay_dies(fleet: Fleet) -> None:
+    world = fleet.world
+    world.engine.after(40_000.0, world.back, "r-e2")
+    _relay(fleet, lambda: world.kill("r-e2"))
+
+
+def _relay_dark(fleet: Fleet) -> None:
+    world = fleet.world
+    world.engine.after(40_000.0, world.back, "r-e2")
+    _relay(fleet, lambda: world.kill("r-e2", dark=True))
+
+
+def _relay_stalls(fleet: Fleet) -> None:
+    _relay(fleet, lambda: fleet.world.freeze("r-e2", 15_000.0))
+
+
+def _relay_half(fleet: Fleet) -> None:
+    process = fleet.world.processes["r-e2"]
+
+    def mute(on: bool) -> None:
+        process.mute = on
+
+    fleet.world.engine.after(40_000.0, mute, False)
+    _relay(fleet, lambda: mute(True))
+
+
+def _publisher_killed(fleet: Fleet) -> None:
+    """Killed at each step of a publish in turn, and back after five seconds."""
+    world = fleet.world
+    for i, step in enumerate(("received", "appended", "synced", "announced")):
+        at = 12_000.0 * i
+        world.engine.after(at + 1_000.0, fleet.publish, "all", "p-east", BODY, step)
+        world.engine.after(at + 1_000.0, fleet.publish, "region/west", "p-west")
+        world.engine.after(at + 6_000.0, world.back, "p-east")
+        world.engine.after(at + 8_000.0, fleet.publish, "all")
+    world.run(75_000.0)
+
+
+def _zone(fleet: Fleet) -> None:
+    """The zone of the home publisher's neighbour goes dark, and comes back after half a minute."""
+    world = fleet.world
+
+    def lose() -> None:
+        for name in fleet.in_zone("e3"):
+            world.kill(name, dark=True)
+
+    def back() -> None:
+        for name in fleet.in_zone("e3"):
+            world.restart(name)
+
+    fleet.day(24, 48_000.0)
+    world.engine.after(10_050.0, lose)
+    world.engine.after(10_060.0, fleet.publish, "all")
+    world.engine.after(40_000.0, back)
+    world.run(75_000.0)
+
+
+def _all_back(fleet: Fleet) -> None:
+    """All nodes are killed, changes are made meanwhile, and all are back within a second."""
+    world = fleet.world
+    for name in fleet.nodes:
+        world.kill(name)
+    for scope, by in (("all", "p-east"), ("region/east", "p-east"), ("region/west", "p-west")):
+        fleet.publish(scope, by)
+    world.run(5_000.0)
+    for name in fleet.nodes:
+        world.engine.after(fleet.rng.uniform(0.0, 1_000.0), world.back, name)
+    world.run(40_000.0)
+
+
+def _cut(fleet: Fleet, for_ms: float) -> None:
+    """The regions lose each other; both change their own scopes, and the home region what concerns all."""
+    world = fleet.world
+    world.net.cut("east", "west")
+    for i in range(8):
+        at = 1_000.0 + (for_ms - 2_000.0) * i / 8
+        world.engine.after(at, fleet.publish, "region/east", "p-east")
+        world.engine.after(at, fleet.publish, "region/west", "p-west")
+        world.engine.after(at, fleet.publish, "all", "p-east")
+    world.run(for_ms)
+    world.net.join("east", "west")
+    now = world.engine.now
+    for change in world.changes:  # they could not be reached before
+        for name in change.owed:
+            if world.specs[name].region == "west":
+                change.owed[name] = now
+    for i in range(4):
+        world.engine.after(8_000.0 + 1_000.0 * i, fleet.publish, *fleet.scope())
+    world.run(40_000.0)
+
+
+CASES: dict[str, tuple[Case, Weather]] = {
+    "calm": (_calm, Weather()),
+    "loss": (_calm, Weather(loss=0.1, starved=0.05)),
+    "burst": (_burst, Weather()),
+    "burst-mixed": (_burst_mixed, Weather()),
+    "burst-loss": (_burst_mixed, Weather(loss=0.1, starved=0.05)),
+    "relay-dies": (_relay_dies, Weather()),
+    "relay-dark": (_relay_dark, Weather()),
+    "relay-stalls": (_relay_stalls, Weather()),
+    "relay-half": (_relay_half, Weather()),
+    "publisher-killed": (_publisher_killed, Weather()),
+    "zone": (_zone, Weather()),
+    "all-back": (_all_back, Weather()),
+    "cut": (lambda fleet: _cut(fleet, 60_000.0), Weather()),
+    "cut-hour": (lambda fleet: _cut(fleet, 3_600_000.0), Weather()),
+}
+
+
+def play(case: str, nodes: int, seed: int, tuning: Tuning | None = None) -> dict[str, Any]:
+    """One run of a case, as docs/capacity/feed.json keeps it; FeedError for a case that there is not."""
+    if case not in CASES:
+        raise FeedError(f"no case {case!r}; there are {', '.join(CASES)}")
+    run, weather = CASES[case]
+    fleet = Fleet(nodes, seed, weather, tuning)
+    world = fleet.world
+    fleet.publish("all")
+    fleet.publish("region/east")
+    fleet.publish("region/west", "p-west")
+    world.run(WARM_MS)
+    world.starve()
+    first = len(world.changes)
+    meter = Meter(fleet)
+    meter.start()
+    began = world.engine.now
+    run(fleet)
+    took = sorted(ms / 1000.0 for change in world.changes[first:] for ms in change.took.values())
+    counts: dict[str, int] = {}
+    for process in world.processes.values():
+        for core in (process.follower, process.hub):
+            if core is not None:
+                for key, count in core.counts.items():
+                    counts[f"{process.spec.role} {key}"] = counts.get(f"{process.spec.role} {key}", 0) + count
+    node, relay, publisher = (meter.rates(role) for role in ("node", "relay", "publisher"))
+    return {
+        "case": case,
+        "nodes": nodes,
+        "seed": seed,
+        "source": "simulated",
+        "simulated_s": round((world.engine.now - began) / 1000.0, 1),
+        "changes": len(world.changes) - first,
+        "taken": len(took),
+        "in_force_s": {name: _figure(took, q) for name, q in (("p50", 50), ("p99", 99), ("worst", 100))},
+        "node_bytes_per_s": round(node[1]),
+        "node_bytes_per_s_mean": round(node[0]),
+        "node_bytes_per_s_busiest_10s": round(node[2]),
+        "node_core_percent": None,
+        "relay_bytes_per_s": round(relay[1]),
+        "relay_bytes_per_s_busiest_10s": round(relay[2]),
+        "publisher_bytes_per_s": round(publisher[1]),
+        "publisher_bytes_per_s_busiest_10s": round(publisher[2]),
+        "unreached": sum(len(names) for names in world.unreached().values()),
+        "faults": world.faults[:5],
+        "converged": world.converged(),
+        "counts": dict(sorted(counts.items())),
+        "trace": world.trace()[:16],
+    }
+
+
+def _figure(seconds: list[float], percent: int) -> float | None:
+    return round(float(np.percentile(seconds, percent)), 3) if seconds else None
--- /dev/null
+++ b/fawngw/lab/feedworld.py
@@ -0,0 +1,433 @@
+"""Publishers, relays and nodes of `fawngw.feed` in simulated time: the real cores on simulated connections.
+
+Equal arguments give an equal run.  How publishers publish is in `feedledger`.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from fawngw.feed.follower import Follower
+from fawngw.feed.hub import Hub
+from fawngw.feed.model import Document, Head, Interest, Server, Tuning
+from fawngw.feed.table import Table
+from fawngw.lab.engine import Engine, Planned
+from fawngw.lab.feednet import Conn, End, Net, Weather
+
+CLUSTER = "world"
+LATE_MS = 0.001  # that a timer goes off after its time, as timers do; also covers the rounding of clocks
+APPLY_MS = (0.5, 3.0)  # until a node has a document in force
+
+
+@dataclass
+class Spec:
+    """What a process is, over its restarts."""
+
+    name: str
+    role: str  # node, relay or publisher
+    region: str
+    zone: str
+    service: str
+    address: str
+    servers: tuple[Server, ...]
+    disk: dict[str, Document] = field(default_factory=dict)  # what it finds there after a restart
+
+
+class Process:
+    """One life of a process."""
+
+    def __init__(self, spec: Spec, follower: Follower | None, hub: Hub | None, offset: float) -> None:
+        self.spec, self.name = spec, spec.name
+        self.follower, self.hub = follower, hub
+        self.offset = offset  # of its clock, in ms
+        self.up, self.frozen, self.mute = True, False, False
+        self.mailbox: list[Callable[[], None]] = []
+        self.wake: Planned | None = None
+        self.wake_at = float("inf")
+        self.ends: dict[tuple[str, int], End] = {}  # side ("f" or "h") and link
+        self.links = 0  # of its hub
+        self.spins = 0
+
+
+@dataclass
+class Change:
+    """A document that was acknowledged: who is to have it in force, and who had it after how many ms."""
+
+    head: Head
+    at: float
+    owed: dict[str, float]  # name, and since when it counts for that one
+    took: dict[str, float] = field(default_factory=dict)
+
+
+class World:
+    """Many processes on one simulated network."""
+
+    def __init__(self, seed: int, weather: Weather | None = None, tuning: Tuning | None = None) -> None:
+        self.engine, self.rng = Engine(), random.Random(seed)
+        self.weather, self.tuning = weather or Weather(), tuning or Tuning()
+        self.net = Net(self.engine, random.Random(self.rng.getrandbits(64)), self.weather)
+        self.specs: dict[str, Spec] = {}
+        self.processes: dict[str, Process] = {}
+        self.by_address: dict[str, Process] = {}
+        self.changes: list[Change] = []
+        self._open: dict[str, list[Change]] = {}
+        self.faults: list[str] = []  # invariants that were broken
+        self.refuses: Callable[[str, Document], str] = lambda name, document: ""
+        self._trace = hashlib.sha256()
+        self.history: dict[str, list[Document]] = {}  # what each node took, in order
+        self.killed: Callable[[str], None] = lambda name: None  # a process was
+
+    def note(self, *values: object) -> None:
+        """Part of the trace by which two runs are compared."""
+        self._trace.update(f"{self.engine.now!r} {values!r}\n".encode())
+
+    def trace(self) -> str:
+        """A digest of all that happened."""
+        return self._trace.hexdigest()
+
+    # ------------------------------------------------------------ processes
+
+    def add(
+        self, name: str, role: str, region: str, zone: str, servers: tuple[Server, ...], service: str = ""
+    ) -> Process:
+        """A new process."""
+        address = f"10.{len(self.specs) >> 8}.{len(self.specs) & 255}.1:7000"
+        spec = self.specs[name] = Spec(name, role, region, zone, service, address, servers)
+        return self._live(spec)
+
+    def _live(self, spec: Spec) -> Process:
+        rng = random.Random(self.rng.getrandbits(64))
+        offset = rng.uniform(0.0, 1e6)
+        now, birth = self.engine.now + offset, rng.getrandbits(32)
+        everything = spec.role != "node"
+        table, hub = Table(self.tuning), None
+        interest = Interest(spec.region, spec.service, "" if everything else spec.name, everything)
+        follower = Follower(
+            CLUSTER,
+            spec.name,
+            spec.servers,
+            interest,
+            role=spec.role,
+            region=spec.region,
+            zone=spec.zone,
+            judged=not everything,
+            rng=rng,
+            birth=birth,
+            now=now,
+            tuning=self.tuning,
+            table=table,
+            kept=list(spec.disk.values()),
+        )
+        if everything:
+            hub = Hub(
+                CLUSTER,
+                spec.name,
+                role=spec.role,
+                region=spec.region,
+                zone=spec.zone,
+                table=table,
+                publishes=spec.role == "publisher",
+                birth=birth,
+                now=now,
+                tuning=self.tuning,
+            )
+        process = Process(spec, follower, hub, offset)
+        self.processes[spec.name] = self.by_address[spec.address] = process
+        self.net.dark.pop(spec.name, None)
+        self.note("live", spec.name)
+        self.after(process)
+        return process
+
+    def kill(self, name: str, dark: bool = False) -> None:
+        """SIGKILL; dark: the machine goes with it, so that nobody is told."""
+        process = self.processes[name]
+        if not process.up:
+            return
+        process.up = False
+        self.note("kill", name)
+        self.killed(name)
+        if dark:
+            self.net.dark[name] = True
+        for end in process.ends.values():
+            self.net.close(end)
+        for change in self.changes:
+            change.owed.pop(name, None)
+
+    def restart(self, name: str) -> Process:
+        """A new process with what the old one left on its disk; it owes all that is not superseded."""
+        self.kill(name)
+        spec, now = self.specs[name], self.engine.now
+        process = self._live(spec)
+        latest = {change.head.scope: change for change in self.changes}
+        for scope, change in latest.items():
+            held = spec.disk.get(scope)
+            if self.meant(spec, scope) and (held is None or held.head.rank < change.head.rank):
+                change.owed[name] = now
+        return process
+
+    def back(self, name: str) -> None:
+        """The same, for a timetable."""
+        self.restart(name)
+
+    def freeze(self, name: str, for_ms: float) -> None:
+        """SIGSTOP, and SIGCONT after so long."""
+        process = self.processes[name]
+        process.frozen = True
+        self.engine.after(for_ms, self._thaw, process)
+
+    def _thaw(self, process: Process) -> None:
+        process.frozen = False
+        box, process.mailbox = process.mailbox, []
+        # Which comes first, the timer or the socket, is the operating system's choice.
+        if self.rng.random() < 0.5:
+            self._tick(process)
+        for i, call in enumerate(box):
+            if process.frozen:
+                process.mailbox = box[i:] + process.mailbox
+                return
+            if process.up:
+                call()
+        self._tick(process)
+
+    def starve(self) -> None:
+        """Let a part of the processes stand still again and again."""
+        names = list(self.processes)
+        for name in self.rng.sample(names, round(self.weather.starved * len(names))):
+            self.engine.after(self.rng.uniform(0.0, self.weather.running[1]), self._starve_once, name)
+
+    def _starve_once(self, name: str) -> None:
+        still = self.rng.uniform(*self.weather.still)
+        self.freeze(name, still)
+        self.engine.after(still + self.rng.uniform(*self.weather.running), self._starve_once, name)
+
+    def jump(self, name: str, by_ms: float) -> None:
+        """The clock of a process jumps, though a monotonic one never should."""
+        process = self.processes[name]
+        process.offset += by_ms
+        self._tick(process)
+
+    # ------------------------------------------------------------ time and calls
+
+    def run(self, for_ms: float) -> None:
+        """Go on for so long."""
+        self.engine.run(self.engine.now + for_ms)
+
+    def call(self, process: Process, call: Callable[[], None]) -> None:
+        if not process.up:
+            return
+        if process.frozen:
+            process.mailbox.append(call)
+            return
+        call()
+        self.after(process)
+
+    def _tick(self, process: Process) -> None:
+        process.wake, process.wake_at = None, float("inf")
+        if not process.up or process.frozen:
+            return
+        now = self.engine.now + process.offset
+        if process.follower is not None and process.follower.next_at() <= now:
+            process.follower.tick(now)
+        if process.hub is not None and process.hub.next_at() <= now:
+            process.hub.tick(now)
+        self.after(process)
+
+    def after(self, process: Process) -> None:
+        due = float("inf")
+        if process.follower is not None:
+            self._carry_follower(process, process.follower)
+            due = process.follower.next_at()
+        if process.hub is not None:
+            self._carry_hub(process, process.hub)
+            due = min(due, process.hub.next_at())
+        due += LATE_MS - process.offset
+        process.spins = process.spins + 1 if due <= self.engine.now else 0
+        if process.spins > 1_000:
+            raise RuntimeError(f"{process.name} is due again and again at {self.engine.now}")
+        if due < process.wake_at:
+            if process.wake is not None:
+                self.engine.cancel(process.wake)
+            process.wake_at = due
+            process.wake = self.engine.at(due, self._tick, process)
+
+    def _carry_follower(self, process: Process, follower: Follower) -> None:
+        out = follower.take()
+        for dial in out.dials:
+            self._dial(process, dial.link, dial.address)
+        for link, data in out.sends:
+            self._write(process, "f", link, data)
+        for link in out.hangups:
+            self._hang_up(process, "f", link)
+        for document in out.apply:
+            if process.hub is not None:
+                process.hub.announce(document, self.engine.now + process.offset)
+            else:
+                self.engine.after(
+                    self.rng.uniform(*APPLY_MS), self.call, process, partial(self._apply, process, document)
+                )
+
+    def _carry_hub(self, process: Process, hub: Hub) -> None:
+        out = hub.take()
+        for link, data in out.sends:
+            self._write(process, "h", link, data)
+        for link in out.hangups:
+            self._hang_up(process, "h", link)
+
+    # ------------------------------------------------------------ connections
+
+    def _end(self, process: Process, side: str, link: int) -> End:
+        spec = process.spec
+
+        def hear(data: bytes) -> None:
+            self.call(process, partial(self._hear, process, side, link, data))
+
+        def close() -> None:
+            self.call(process, partial(self._lost, process, side, link))
+
+        def full(blocked: bool) -> None:
+            if side == "h":
+                self.call(process, partial(self._blocked, process, link, blocked))
+
+        end = process.ends[side, link] = End(spec.name, spec.region, spec.zone, hear, close, full)
+        return end
+
+    def _dial(self, process: Process, link: int, address: str) -> None:
+        end = self._end(process, "f", link)
+
+        def find() -> End | None:
+            target = self.by_address.get(address)
+            if target is None or target.hub is None:
+                return None
+            if not target.up and not self.net.dark.get(target.name):
+                return None
+            spec = target.spec
+            return End(spec.name, spec.region, spec.zone, _nothing, _nothing, _nothing)
+
+        def up(conn: Conn) -> None:
+            target = self.by_address[address]
+            target.links += 1
+            taken = self._end(target, "h", target.links)
+            taken.conn = conn
+            conn.ends = (end, taken)
+            self.call(target, partial(self._accepted, target, target.links))
+            self.call(process, partial(self._connected, process, link))
+
+        self.net.dial(end, find, up)
+
+    def _write(self, process: Process, side: str, link: int, data: bytes) -> None:
+        end = process.ends.get((side, link))
+        if end is None:
+            return
+        if process.mute and side == "h" and len(data) > 600:
+            data = data[: len(data) // 2]  # half a body, then nothing any more
+            process.ends.pop((side, link))
+        self.net.send(end, data)
+
+    def _hang_up(self, process: Process, side: str, link: int) -> None:
+        end = process.ends.pop((side, link), None)
+        if end is not None:
+            self.net.close(end)
+
+    def _connected(self, process: Process, link: int) -> None:
+        assert process.follower is not None
+        process.follower.connected(link, self.engine.now + process.offset)
+
+    def _accepted(self, process: Process, link: int) -> None:
+        assert process.hub is not None
+        process.hub.accepted(link, self.engine.now + process.offset)
+
+    def _blocked(self, process: Process, link: int, blocked: bool) -> None:
+        assert process.hub is not None
+        process.hub.blocked(link, blocked, self.engine.now + process.offset)
+
+    def _hear(self, process: Process, side: str, link: int, data: bytes) -> None:
+        end = process.ends.get((side, link))
+        if end is not None:
+            self.net.read(end, len(data))
+        core = process.follower if side == "f" else process.hub
+        assert core is not None
+        core.received(link, data, self.engine.now + process.offset)
+
+    def _lost(self, process: Process, side: str, link: int) -> None:
+        process.ends.pop((side, link), None)
+        core = process.follower if side == "f" else process.hub
+        assert core is not None
+        core.lost(link, self.engine.now + process.offset)
+
+    # ------------------------------------------------------------ documents
+
+    def _apply(self, process: Process, document: Document) -> None:
+        follower, head = process.follower, document.head
+        assert follower is not None
+        taken = self.history.setdefault(process.name, [])
+        before = process.spec.disk.get(head.scope)
+        if not document.whole:
+            self.faults.append(f"{process.name} was given a body that is not the head's: {head}")
+        if before is not None and before.head.rank >= head.rank:
+            self.faults.append(f"{process.name} went back from {before.head} to {head}")
+        why = self.refuses(process.name, document)
+        if not why:
+            process.spec.disk[head.scope] = document
+            taken.append(document)
+            self.note("in force", process.name, head.scope, head.era, head.version)
+            for change in self._open.get(head.scope, ()):
+                if change.head.rank <= head.rank and process.name in change.owed:
+                    change.took[process.name] = self.engine.now - change.owed.pop(process.name)
+        follower.applied(head.scope, head, why, self.engine.now + process.offset)
+
+    @staticmethod
+    def meant(spec: Spec, scope: str) -> bool:
+        return spec.role == "node" and Interest(spec.region, spec.service, spec.name).wants(scope)
+
+    # ------------------------------------------------------------ looks
+
+    def acknowledged(self, head: Head) -> None:
+        """A document was: it is owed to all that it is meant for and that run."""
+        now = self.engine.now
+        self.note("acknowledged", head.scope, head.era, head.version)
+        owed = {
+            name: now
+            for name, spec in self.specs.items()
+            if self.meant(spec, head.scope) and self.processes[name].up
+        }
+        change = Change(head, now, owed)
+        self.changes.append(change)
+        self._open.setdefault(head.scope, []).append(change)
+
+    def unreached(self) -> dict[str, list[str]]:
+        """Scope and version, and the names that should have it in force and have not."""
+        return {
+            f"{change.head.scope} {change.head.version}": list(change.owed)
+            for change in self.changes
+            if change.owed
+        }
+
+    def traffic(self, name: str) -> int:
+        """Bytes with headers, both ways."""
+        return self.net.sent.get(name, 0) + self.net.heard.get(name, 0)
+
+    def converged(self) -> bool:
+        """Whether every process that runs holds the highest head of each scope that is meant for it."""
+        best: dict[str, Head] = {}
+        for process in self.processes.values():
+            if process.up and process.follower is not None:
+                for scope, document in process.follower.table.documents.items():
+                    if scope not in best or document.head.rank > best[scope].rank:
+                        best[scope] = document.head
+        for process in self.processes.values():
+            if not process.up or process.follower is None:
+                continue
+            for scope, head in best.items():
+                if process.follower.interest.wants(scope):
+                    held = process.follower.table.get(scope)
+                    if held is None or held.head != head:
+                        return False
+        return True
+
+
+def _nothing(*_: object) -> None:
+    """An end that only says where it stands."""
