--- a/fawngw/cli/main.py
+++ b/fawngw/cli/main.py
@@ -7,6 +7,7 @@
 import typer
 
 from fawngw.cli.demo import demo
+from fawngw.cli.feed import app as feed
 from fawngw.cli.lab import app as lab
 from fawngw.cli.members import app as members
 from fawngw.cli.state import app as state
@@ -17,6 +18,7 @@
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
+app.add_typer(feed, name="feed")
 app.add_typer(lab, name="lab")
 app.add_typer(members, name="members")
 app.add_typer(state, name="state")
@@ -25,6 +27,7 @@
 
 def main() -> None:
     """Exit code 0 if all went well, 1 if a rule was broken, 2 with one plain line for what cannot be used."""
+    from fawngw.feed.model import FeedError
     from fawngw.lab.policies import PolicyError
     from fawngw.lab.runs import RunFolderError
     from fawngw.lab.scenario import ScenarioError
@@ -33,7 +36,7 @@
 
     try:
         app()
-    except (ScenarioError, RunFolderError, PolicyError, MemberError, StoreError) as error:
+    except (ScenarioError, RunFolderError, PolicyError, MemberError, StoreError, FeedError) as error:
         print(f"crowpost: {error}", file=sys.stderr)
         sys.exit(2)
 
--- a/fawngw/feed/carrier.py
+++ b/fawngw/feed/carrier.py
@@ -12,7 +12,7 @@
 
 from fawngw.feed import follower as watching
 from fawngw.feed import hub as serving
-from fawngw.feed import wire
+from fawngw.feed import messages, wire
 from fawngw.feed.config import FeedConfig, split_address
 from fawngw.feed.model import Document, FeedError, Head
 from fawngw.feed.table import Table
@@ -23,13 +23,13 @@
 FLUSH_S = 5.0  # for what was sent to be out, once a link is to be closed
 FAREWELL_S = 0.5  # for all links together, at an orderly end
 
-Requested = Callable[[int, wire.Publish], None]
+Requested = Callable[[int, messages.Publish], None]
 
 
 class Carrier:
     """One process of the feed on the running loop.
 
-    A node has no hub; a relay or publisher has both, with one table, and watches only where it has upstreams.
+    A node has no hub; a relay or publisher, which listens, has both with one table.
     on_document: called with each document that came whole; a node answers it with `applied`, at any later
     time.  kept: last good documents from disk.  on_publish: is called with what a publisher is asked for.
     """
@@ -55,7 +55,7 @@
         self._closed = False
         table = Table(config.tuning)
         self.follower = self._watch(table, kept)
-        self.hub = self._serve(table) if config.role != "node" else None
+        self.hub = self._serve(table) if config.listen else None
 
     def _watch(self, table: Table, kept: Iterable[Document]) -> watching.Follower:
         config = self._config
@@ -120,7 +120,7 @@
         self.hub.announce(document, self.now())
         self._after()
 
-    def answer(self, link: int, message: wire.Message) -> None:
+    def answer(self, link: int, message: messages.Message) -> None:
         """Answer what a publisher was asked for."""
         assert self.hub is not None
         self.hub.answer(link, message, self.now())
@@ -190,12 +190,12 @@
         self._send(self._up, out.sends)
         for number in out.hangups:
             self._hang_up(self._up, number)
+        for event in out.events:
+            self.tell(event.kind, event.at, **event.values)
         for document in out.apply:
             if self.hub is not None:
                 self.hub.announce(document, self.now())
             self._on_document(document)
-        for event in out.events:
-            self.tell(event.kind, event.at, **event.values)
         return bool(out.dials or out.sends or out.hangups or out.apply)
 
     def _attend(self) -> bool:
@@ -331,7 +331,7 @@
             self._transport.abort()
 
 
-async def ask(address: str, message: wire.Message, cluster: str, within_s: float) -> wire.Message:
+async def ask(address: str, message: messages.Message, cluster: str, within_s: float) -> messages.Message:
     """What a relay or publisher answers to AskStatus or Publish; FeedError, in one line, where none comes."""
     try:
         async with asyncio.timeout(within_s):
@@ -347,15 +347,15 @@
         raise FeedError(f"{address}: {error.strerror or error}") from None
 
 
-async def _answer(address: str, reader: asyncio.StreamReader, asked: type[Any]) -> wire.Message:
+async def _answer(address: str, reader: asyncio.StreamReader, asked: type[Any]) -> messages.Message:
     frames = wire.Reader(None)
-    wanted = (wire.Status,) if asked is wire.AskStatus else (wire.Published, wire.Refused)
+    wanted = (messages.Status,) if asked is messages.AskStatus else (messages.Published, messages.Refused)
     while data := await reader.read(1 << 16):
         for item, _ in frames.feed(data):
             if isinstance(item, wire.Foreign):
                 raise FeedError(f"{address}: {item}")
             if isinstance(item, wanted):
                 return item
-            if isinstance(item, wire.Bye):
+            if isinstance(item, messages.Bye):
                 raise FeedError(f"{address}: {item.why}")
     raise FeedError(f"{address}: closed without an answer")
--- a/fawngw/feed/config.py
+++ b/fawngw/feed/config.py
@@ -11,7 +11,7 @@
 from fawngw.tables import Table, TableError, read_file
 
 ROLES = ("node", "relay", "publisher")
-BYTES_PER_S, SNAPSHOT_BYTES = 4_000_000.0, 4 << 20
+SNAPSHOT_BYTES = 4 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +29,7 @@
     directory: Path | None = None  # a node's last good documents, a publisher's state
     home: str = ""  # the region whose publisher writes `all` and the services
     publishers: Mapping[str, str] = field(default_factory=dict)  # the name of each region's publisher
+    sample: str = ""  # a node's configuration file, by which a publisher judges what nodes would refuse
     snapshot_bytes: int = SNAPSHOT_BYTES  # a publisher's log of this size gives way to a snapshot
     tuning: Tuning = field(default_factory=Tuning)
 
@@ -74,6 +75,7 @@
         directory=Path(directory) if directory else None,
         home=table.text("home"),
         publishers=table.mapping("publishers"),
+        sample=table.text("sample"),
         snapshot_bytes=int(table.number("snapshot_bytes", SNAPSHOT_BYTES, 10_000.0, 1e9)),
         tuning=_tuning(table.get("tuning") or {}),
     )
--- a/fawngw/node/config.py
+++ b/fawngw/node/config.py
@@ -62,7 +62,7 @@
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration of this process."""
     path = _variable(environment, "NODE_CONFIG")
-    raw = _read_file(path)
+    raw = read_file(path)
     name = environment.get("NODE_NAME") or str(raw.get("name", ""))
     feed = _feed(environment, name)
     overlays = None
@@ -105,7 +105,7 @@
 
 def read_discovery(path: str) -> tuple[str, int]:
     """Discovery's address in a configuration file that was replaced; the environment has only the first."""
-    return _address({}, _read_file(path), "discovery", "discovery")
+    return _address({}, read_file(path), "discovery", "discovery")
 
 
 def _variable(environment: Mapping[str, str], name: str) -> str:
@@ -115,7 +115,8 @@
     return value
 
 
-def _read_file(path: str) -> dict[str, Any]:
+def read_file(path: str) -> dict[str, Any]:
+    """The object that a configuration file holds; ConfigError where it holds none."""
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
--- a/fawngw/node/overlays.py
+++ b/fawngw/node/overlays.py
@@ -7,18 +7,26 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
-from fawngw.feed.model import Document, Head, order
-from fawngw.node.config import Config, ConfigError, read_config
+from fawngw.feed.model import Document, FeedError, Head, make_document, order
+from fawngw.node.config import Config, ConfigError, read_config, read_file
 
 KEY = 120  # characters of a key that are told
 CONNECT_TIMEOUT = "settings.policyLimits.connectTimeoutMs"
 # What a running node can take over without a request noticing.  All other settings are the module's from its
 # first event on, or sizes of what is open.
 LIVE = frozenset({"discovery", CONNECT_TIMEOUT})
+# The least that a node can be configured with, where a publisher has no node's file to judge by.
+_PROFILE = {"name": "any", "effect": "safe", "aimMs": 1.0, "deadlineMs": 1.0}
+_LEAST: dict[str, Any] = {
+    "seed": "0",
+    "limits": {"memory_mb": 64, "sockets": 64},
+    "settings": {"profiles": [_PROFILE]},
+}
+_ADDRESSES = {"name": "sample", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:0"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,3 +201,27 @@
             yield from differences(one, other, f"{path}.{number}")
     elif isinstance(before, bool) != isinstance(after, bool) or before != after:
         yield path
+
+
+def checker(sample: str = "") -> Callable[[str, bytes], None]:
+    """A publisher's check of scope and body: FeedError, in the line that a node would refuse it with.
+
+    sample: a node's configuration file, which a document must fit as at a running node; without one only
+    what no node at all could read is refused.  FeedError where the file is none.
+    """
+    try:
+        raw = {**_ADDRESSES, **(read_file(sample) if sample else _LEAST)}
+        node = Overlays({}, raw, sample)
+    except ConfigError as error:
+        raise FeedError(f"feed.sample: {error}") from None
+
+    def check(scope: str, body: bytes) -> None:
+        try:
+            if sample:
+                node.propose(make_document(scope, 0, 1, body, author="", reason="", writer=""))
+            else:
+                read_config({}, patched(raw, parse(body)), "")
+        except (ConfigError, RecursionError) as error:
+            raise FeedError(f"{scope}: {error}") from None
+
+    return check
