--- a/fawngw/node/overlays.py
+++ b/fawngw/node/overlays.py
@@ -14,6 +14,7 @@
 from fawngw.feed.model import Document, FeedError, Head, make_document, order
 from fawngw.node.config import Config, ConfigError, read_config, read_file
 
+BYTES = 32_768  # of a document: what reads and compares it holds the loop up, and may not for 5 ms
 KEY = 120  # characters of a key that are told
 CONNECT_TIMEOUT = "settings.policyLimits.connectTimeoutMs"
 # What a running node can take over without a request noticing.  All other settings are the module's from its
@@ -151,6 +152,8 @@
 
 def parse(body: bytes) -> dict[str, Any]:
     """The object that a document's body holds; ConfigError for anything else."""
+    if len(body) > BYTES:
+        raise ConfigError(f"the document has {len(body)} bytes, and a node takes {BYTES} at the most")
     try:
         overlay = json.loads(body, parse_constant=_no_constant)
     except (ValueError, RecursionError) as error:
