--- a/fawngw/feed/fetching.py
+++ b/fawngw/feed/fetching.py
@@ -9,11 +9,11 @@
 
 from fawngw.feed.bucket import Bucket
 from fawngw.feed.messages import Body, Fetch
-from fawngw.feed.model import Document, Head, Tuning
+from fawngw.feed.model import HEADERS, Document, Head, Tuning
 from fawngw.feed.table import Table
 from fawngw.feed.watching import Link, Watches
 
-ASKING = 110  # bytes of a Fetch at the most in practice, and of a Body around its piece
+ASKING = 110 + HEADERS  # bytes of a Fetch in practice, and of a Body around its piece
 LEAST = 4_096  # bytes worth asking for while there are few tokens
 RETRIES = 6  # doublings of the wait when nobody gives a body
 
--- a/fawngw/feed/follower.py
+++ b/fawngw/feed/follower.py
@@ -19,6 +19,7 @@
 from fawngw.feed.fetching import Fetches
 from fawngw.feed.messages import Absent, Beat, Body, Bye, Fetch, Heads, Hello, Message, Report
 from fawngw.feed.model import (
+    HEADERS,
     WHY_BYTES,
     Conflict,
     Dial,
@@ -130,7 +131,7 @@
         now = self._enter(now)
         found = self._watches.links.get(link)
         if found is not None and not found.open:
-            found.open, found.since, found.heard = True, now, now
+            self._watches.opened(found, now)
             found.beat_at = now + self.tuning.beat_ms * (0.5 + 0.5 * self._rng.random())
             found.vector_at, found.vector_wait = now + self.tuning.vector_ms, self.tuning.vector_ms
             self._hello(found, now)
@@ -197,8 +198,8 @@
     def _enter(self, now: float) -> float:
         """The time to go by: one that never goes back.  After standing still nobody else is to blame."""
         now = max(now, self._now)
-        if now - self._due > self.tuning.late_ms and math.isfinite(self._due):
-            still = now - self._seen
+        still, late = now - self._seen, now - self._due
+        if min(still, late) > self.tuning.late_ms:
             self._watches.shift(still)
             self._fetches.shift(still)
             self.counts["slept"] += 1
@@ -224,7 +225,7 @@
         frame = encode(message, self._tag)
         self.counts["bytes_out"] += len(frame)
         if not isinstance(message, Fetch):  # paid when it was decided upon
-            self.bucket.spend(len(frame), now)
+            self.bucket.spend(len(frame) + HEADERS, now)
         self._out.sends.append((link.number, frame))
 
     def _ask(self, link: Link, fetch: Fetch) -> None:
@@ -236,16 +237,8 @@
     def _hello(self, link: Link, now: float) -> None:
         interest = self.interest
         vector = tuple(head.mark for head in self.table.heads(interest))
-        hello = Hello(
-            self.name,
-            self._role,
-            self._region,
-            self._zone,
-            interest.service,
-            interest.everything,
-            self._birth,
-            vector,
-        )
+        who = self.name, self._role, self._region, self._zone, interest.service, interest.everything
+        hello = Hello(*who, birth=self._birth, vector=vector)
         self._send(link, hello, now)
 
     def _drop(self, link: Link, now: float, why: str, hang_up: bool = True, failed: bool = True) -> None:
@@ -262,7 +255,7 @@
             return
         link.heard = now
         if not isinstance(message, Body):  # paid when it was asked for
-            self.bucket.spend(size, now)
+            self.bucket.spend(size + HEADERS, now)
         match message:
             case Hello():
                 self._greeted(link, message, now)
@@ -303,10 +296,14 @@
                 self._send(link, self._report(self.standings()), now)
 
     def _compare(self, link: Link, digest: int, now: float) -> None:
-        """Digests that go on differing: one of the two lacks something.  Ask less and less often."""
-        if digest == self.table.digest(self.interest):
+        """Digests that go on differing: one of the two lacks something.  Ask less and less often.
+
+        That they differ once is news that is on its way.
+        """
+        differed, link.differs = link.differs, digest != self.table.digest(self.interest)
+        if not link.differs:
             link.vector_wait = self.tuning.vector_ms
-        elif now >= link.vector_at and not any(s in self._fetches.wants for s in link.offers):
+        elif differed and now >= link.vector_at and not any(s in self._fetches.wants for s in link.offers):
             link.vector_at = now + link.vector_wait
             link.vector_wait = min(2.0 * link.vector_wait, self.tuning.vector_most_ms)
             self.counts["vectors"] += 1
--- a/fawngw/feed/hub.py
+++ b/fawngw/feed/hub.py
@@ -27,7 +27,7 @@
     Report,
     Status,
 )
-from fawngw.feed.model import Document, Event, Head, Interest, Tuning, scopes_of
+from fawngw.feed.model import HEADERS, Document, Event, Head, Interest, Tuning, scopes_of
 from fawngw.feed.status import Wall, hub_status
 from fawngw.feed.table import Table
 from fawngw.feed.wire import HEADS, Foreign, Reader, encode, tag
@@ -226,7 +226,7 @@
     def _enter(self, now: float) -> float:
         """The time to go by: one that never goes back.  After standing still no follower is to blame."""
         now = max(now, self._now)
-        if now - self.next_at() > self.tuning.late_ms:
+        if min(now - self._seen, now - self.next_at()) > self.tuning.late_ms:
             for watch in self._watches.values():
                 watch.heard += now - self._seen
             self.counts["slept"] += 1
@@ -312,8 +312,8 @@
         self._send_frame(watch, encode(message, self._tag), now)
 
     def _send_frame(self, watch: Watch, frame: bytes, now: float) -> None:
-        watch.bucket.spend(len(frame), now)
-        self._bucket.spend(len(frame), now)
+        watch.bucket.spend(len(frame) + HEADERS, now)
+        self._bucket.spend(len(frame) + HEADERS, now)
         self.counts["bytes_out"] += len(frame)
         self._out.sends.append((watch.number, frame))
 
--- a/fawngw/feed/model.py
+++ b/fawngw/feed/model.py
@@ -17,6 +17,7 @@
 NAME_BYTES = 64
 REASON_BYTES = 200
 WHY_BYTES = 200
+HEADERS = 40  # bytes of TCP and IP around a frame, counted against the budgets
 PREFIX = 8  # bytes of a digest that tell two bodies apart where no adversary chose them
 _WORD = 2**63
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
@@ -201,7 +202,7 @@
     follower_silent_ms: float = 20_000.0  # a follower may sleep for longer than a server
     dial_ms: float = 2_000.0  # for a connection, and for the first word on it
     backoff_ms: float = 250.0  # before a server is dialled again, doubled each time, with jitter
-    backoff_most_ms: float = 8_000.0
+    backoff_most_ms: float = 4_000.0
     improve_ms: float = 45_000.0  # between looks whether a nearer server is back, in the mean
     near_ms: float = 250.0  # that the nearer server has to tell of a document which the other told of
     take_over_ms: float = 1_000.0  # without a byte of a body until the other server is asked for the rest
--- a/fawngw/feed/watching.py
+++ b/fawngw/feed/watching.py
@@ -41,6 +41,7 @@
     slow_until: float = -math.inf  # it let a body wait: asked last until then
     vector_at: float = -math.inf  # not before then is the vector sent again
     vector_wait: float = 0.0
+    differs: bool = False  # its digest did, at its last beat
     offers: dict[str, Head] = field(default_factory=dict)  # what it told of that is not held here yet
     bad: dict[str, Head] = field(default_factory=dict)  # heads whose body it could not give
 
@@ -63,44 +64,60 @@
         self._number = 0
         self.places = [Place(s, (s.tier, _distance(s, region, zone), rng.random())) for s in servers]
         self.places.sort(key=lambda place: place.nearness)
+        self._planned: tuple[list[Place], int] | None = None
+        self._dial_due = math.inf
         self._dial_at = now + rng.random() * tuning.backoff_ms  # a fleet that starts at once
 
     def open_links(self) -> list[Link]:
         """The links that are up, the nearest first."""
         found = [link for link in self.links.values() if link.open]
-        found.sort(key=lambda link: link.place.nearness)
+        if len(found) > 1:
+            found.sort(key=lambda link: link.place.nearness)
         return found
 
-    def _free(self) -> list[Place]:
-        taken = {id(link.place) for link in self.links.values()}
-        return [place for place in self.places if id(place) not in taken]
+    def _plan(self) -> tuple[list[Place], int]:
+        """Servers that may be dialled, and how many of them: those lacking, or one that is nearer.
 
-    def _better(self) -> list[Place]:
-        """Servers nearer than one that is watched, each worth a try in place of that one."""
-        if any(not link.open for link in self.links.values()):
-            return []  # one at a time
-        worst = max(link.place.nearness[:2] for link in self.links.values())
-        return [place for place in self._free() if place.nearness[:2] < worst]
+        It is worked out anew only after a link came or went, as it is asked after every message.
+        """
+        if self._planned is None:
+            taken = {id(link.place) for link in self.links.values()}
+            free = [place for place in self.places if id(place) not in taken]
+            lacking = self._tuning.watches - len(self.links)
+            if lacking <= 0:
+                lacking = 1
+                if all(link.open for link in self.links.values()):  # one at a time
+                    worst = max(link.place.nearness[:2] for link in self.links.values())
+                    free = [place for place in free if place.nearness[:2] < worst]
+                else:
+                    free = []
+            self._dial_due = max(self._dial_at, min((p.not_before for p in free), default=math.inf))
+            self._planned = free, lacking
+        return self._planned
+
+    def opened(self, link: Link, now: float) -> None:
+        """A dialled link is up."""
+        link.open, link.since, link.heard = True, now, now
+        self._planned = None
 
     def dial(self, now: float) -> list[Link]:
         """Links to dial now."""
-        if now < self._dial_at:
+        places, lacking = self._plan()
+        if now < self._dial_due:
             return []
-        lacking = self._tuning.watches - len(self.links)
-        ready = [p for p in self._free() if p.not_before <= now]
-        if lacking <= 0:
-            better = {id(place) for place in self._better()}
-            ready, lacking = [p for p in ready if id(p) in better], 1
         made = []
-        for place in ready[:lacking]:
+        for place in [p for p in places if p.not_before <= now][:lacking]:
             self._number += 1
             reader = Reader(self._cluster, FRAME_BYTES)
             link = self.links[self._number] = Link(self._number, place, now, reader, heard=now)
             made.append(link)
+            self._planned = None
         return made
 
     def surplus(self) -> Link | None:
         """The farthest link, once a nearer one has greeted and there is one too many."""
+        if len(self.links) <= self._tuning.watches:
+            return None
         greeted = [link for link in self.open_links() if link.greeted]
         return greeted[-1] if len(greeted) > self._tuning.watches else None
 
@@ -110,6 +127,7 @@
         The others are dialled after a short throw, as a server that dies takes many links with it.
         """
         self.links.pop(link.number, None)
+        self._planned = None
         place, tuning, rng = link.place, self._tuning, self._rng
         if failed:
             steady = link.greeted and now - link.since >= STEADY_MS
@@ -123,13 +141,10 @@
 
     def next_at(self) -> float:
         """When a dial, or the end of a link that says nothing, is due."""
-        tuning = self._tuning
-        due = math.inf
+        self._plan()
+        due = self._dial_due
         for link in self.links.values():
             due = min(due, self.deadline(link), link.beat_at)
-        places = self._free() if len(self.links) < tuning.watches else self._better()
-        if places:
-            due = min(due, max(self._dial_at, min(place.not_before for place in places)))
         return due
 
     def deadline(self, link: Link) -> float:
--- a/fawngw/lab/feedworld.py
+++ b/fawngw/lab/feedworld.py
@@ -53,7 +53,7 @@
         self.spins = 0
 
 
-@dataclass
+@dataclass(eq=False)
 class Change:
     """A document that was acknowledged: who is to have it in force, and who had it after how many ms."""
 
@@ -74,7 +74,7 @@
         self.processes: dict[str, Process] = {}
         self.by_address: dict[str, Process] = {}
         self.changes: list[Change] = []
-        self._open: dict[str, list[Change]] = {}
+        self._open: dict[str, dict[Change, None]] = {}
         self.faults: list[str] = []  # invariants that were broken
         self.refuses: Callable[[str, Document], str] = lambda name, document: ""
         self._trace = hashlib.sha256()
@@ -167,6 +167,7 @@
             held = spec.disk.get(scope)
             if self.meant(spec, scope) and (held is None or held.head.rank < change.head.rank):
                 change.owed[name] = now
+                self._open[scope][change] = None
         return process
 
     def back(self, name: str) -> None:
@@ -374,9 +375,11 @@
             process.spec.disk[head.scope] = document
             taken.append(document)
             self.note("in force", process.name, head.scope, head.era, head.version)
-            for change in self._open.get(head.scope, ()):
+            for change in list(self._open.get(head.scope, ())):
                 if change.head.rank <= head.rank and process.name in change.owed:
                     change.took[process.name] = self.engine.now - change.owed.pop(process.name)
+                    if not change.owed:
+                        del self._open[head.scope][change]
         follower.applied(head.scope, head, why, self.engine.now + process.offset)
 
     @staticmethod
@@ -396,7 +399,7 @@
         }
         change = Change(head, now, owed)
         self.changes.append(change)
-        self._open.setdefault(head.scope, []).append(change)
+        self._open.setdefault(head.scope, {})[change] = None
 
     def unreached(self) -> dict[str, list[str]]:
         """Scope and version, and the names that should have it in force and have not."""
