--- a/fawngw/feed/fetching.py
+++ b/fawngw/feed/fetching.py
@@ -213,7 +213,7 @@
             if now < due:
                 self._retry_at = min(self._retry_at, due)
                 return
-        elif links[0] not in sources and links[0].slow_until <= now:
+        elif min(links, key=lambda link: link.slow_until > now) not in sources:  # the first that is not slow
             due = want.first_at + tuning.near_ms
             if now < due:
                 self._retry_at = min(self._retry_at, due)
--- a/fawngw/lab/feedsim.py
+++ b/fawngw/lab/feedsim.py
@@ -29,18 +29,23 @@
     """Publishers, relays and nodes in one world."""
 
     def __init__(
-        self, nodes: int, seed: int, weather: Weather | None = None, tuning: Tuning | None = None
+        self,
+        nodes: int,
+        seed: int,
+        weather: Weather | None = None,
+        tuning: Tuning | None = None,
+        regions: tuple[tuple[str, tuple[str, ...]], ...] = ZONES,
     ) -> None:
         self.world = World(seed, weather, tuning)
         self.ledger = Publishing(self.world)
-        self.rng = random.Random(seed)
-        self.zones = [(region, zone) for region, zones in ZONES for zone in zones]
-        at = {f"p-{region}": f"10.0.{i}.1:7000" for i, (region, _) in enumerate(ZONES)}
-        at |= {f"r-{zone}": f"10.0.{len(ZONES) + i}.1:7000" for i, (_, zone) in enumerate(self.zones)}
-        home = {region: zones[0] for region, zones in ZONES}
+        self.rng, self.regions = random.Random(seed), regions
+        self.zones = [(region, zone) for region, zones in regions for zone in zones]
+        at = {f"p-{region}": f"10.0.{i}.1:7000" for i, (region, _) in enumerate(regions)}
+        at |= {f"r-{zone}": f"10.0.{len(regions) + i}.1:7000" for i, (_, zone) in enumerate(self.zones)}
+        home = {region: zones[0] for region, zones in regions}
         relays = {zone: Server(at[f"r-{zone}"], region, zone) for region, zone in self.zones}
-        publishers = {region: Server(at[f"p-{region}"], region, home[region]) for region, _ in ZONES}
-        for region, _ in ZONES:
+        publishers = {region: Server(at[f"p-{region}"], region, home[region]) for region, _ in regions}
+        for region, _ in regions:
             others = tuple(server for name, server in publishers.items() if name != region)
             self.world.add(f"p-{region}", "publisher", region, home[region], others)
         for region, zone in self.zones:
@@ -73,7 +78,7 @@
 
     def scope(self) -> tuple[str, str]:
         """A scope for a change of an ordinary day, and its publisher: a half concerns all nodes."""
-        region, _ = ZONES[self.rng.randrange(len(ZONES))]
+        region, _ = self.rng.choice(self.regions)
         kind = self.rng.choice(("all", "all", "all", "region", "service", "node"))
         if kind == "all":
             return "all", "p-east"
