--- /dev/null
+++ b/fawngw/lab/feedgossip.py
@@ -0,0 +1,60 @@
+"""The way not taken: what a change would cost a node if the members passed it on among themselves.
+
+Measured on the queue of gossip that membership has: whoever learns a claim passes it on so many times for
+each power of ten of members.  What a member sends until its queue is empty is what it receives in the mean.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from fawngw.feed.messages import Heads, Report
+from fawngw.feed.model import Standing, State, make_document
+from fawngw.feed.wire import encode
+from fawngw.members.gossip import Gossip
+from fawngw.members.model import Claim, Phase, Profile, Tuning, Verdict
+
+BODY = 2_000  # bytes of a change
+
+
+def claim(name: str, head: str) -> Claim:
+    """A member's claim with the head of a document, or how it stands to it, as a fact."""
+    profile = Profile(name, "10.20.30.40:7000", "e1", started_s=1_700_000_000.123, facts={"feed": head})
+    return Claim(name, 0xFFFF_FFFF, 7, Phase.PRESENT, Verdict.NONE, name, "", profile)
+
+
+def drained(claims: int, members: int, tuning: Tuning) -> tuple[int, float]:
+    """Bytes of claims that one member sends until it has nothing left to pass on, and how often each."""
+    gossip = Gossip(tuning)
+    for i in range(claims):
+        gossip.add(claim(f"node-{i:04}", "all 1 12 0123456789abcdef"), members)
+    sent = rows = 0
+    while len(gossip):
+        taken = gossip.take(tuning.datagram_bytes, 0.0)
+        sent += sum(map(len, taken))
+        rows += len(taken)
+    return sent, rows / claims
+
+
+def cost(members: int) -> dict[str, Any]:
+    """Bytes that one node sends for one change of 2 kB by gossip, and sends or receives by the feed.
+
+    Also the seconds that the standings of all would take at gossip's budget.
+    """
+    tuning = Tuning()
+    head, repeats = drained(1, members, tuning)
+    standings, _ = drained(members, members, tuning)
+    document = make_document("all", 1, 12, b"x" * BODY, author="ops", reason="a change", writer="p-east")
+    standing = Standing(document.head.mark, State.IN_FORCE)
+    return {
+        "members": members,
+        "repeats": repeats,
+        "claim_bytes": round(head / repeats),
+        "gossip_head_bytes": head,
+        "gossip_body_bytes": round(repeats * BODY),
+        "gossip_standings_bytes": standings,
+        "gossip_standings_s_at_budget": round(standings / tuning.bytes_per_s),
+        "feed_standing_bytes": 2 * len(encode(Report("node-0001", 2**32 - 1, 12, (standing,)), 0)),
+        "feed_head_bytes": 2 * len(encode(Heads((document.head,)), 0)),
+        "feed_body_bytes": BODY,
+    }
--- a/fawngw/lab/feedsim.py
+++ b/fawngw/lab/feedsim.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
+import gc
+import json
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import numpy as np
 
 from fawngw.feed.model import FeedError, Server, Tuning
+from fawngw.lab.feedgossip import cost
 from fawngw.lab.feedledger import Publishing
 from fawngw.lab.feednet import Weather
 from fawngw.lab.feedworld import World
@@ -22,6 +26,7 @@
 SERVICES = 76
 BODY = 2_000  # bytes of a change
 WARM_MS = 15_000.0
+GOSSIP = (50, 200, 790, 1_580)  # sizes for which the way not taken is worked out
 WINDOW_S = 10  # the busiest such stretch is shown beside the mean
 
 
@@ -279,7 +284,10 @@
     meter = Meter(fleet)
     meter.start()
     began = world.engine.now
+    gc.collect()
+    gc.freeze()  # nothing of the fleet goes before the run is over: it need not be looked through
     run(fleet)
+    gc.unfreeze()
     took = sorted(ms / 1000.0 for change in world.changes[first:] for ms in change.took.values())
     counts: dict[str, int] = {}
     for process in world.processes.values():
@@ -293,6 +301,7 @@
         "nodes": nodes,
         "seed": seed,
         "source": "simulated",
+        "command": f"crowpost lab feed {case} --nodes {nodes} --seed {seed}",
         "simulated_s": round((world.engine.now - began) / 1000.0, 1),
         "changes": len(world.changes) - first,
         "taken": len(took),
@@ -313,5 +322,30 @@
     }
 
 
+def put_into(path: Path, run: dict[str, Any]) -> None:
+    """Put a run into a record, in place of one of the same case, size, seed and source.
+
+    FeedError where the file is no record.
+    """
+    record: dict[str, Any] = {"schema": 1, "runs": []}
+    if path.exists():
+        try:
+            record = json.loads(path.read_text())
+            runs = record["runs"]
+            keys = [_key(old) for old in runs]
+        except (ValueError, KeyError, TypeError) as error:
+            raise FeedError(f"{path}: no record of runs: {error}") from None
+        record["runs"] = [old for old, key in zip(runs, keys, strict=True) if key != _key(run)]
+    record["gossip"] = [cost(members) for members in GOSSIP]
+    record["runs"] = sorted([*record["runs"], run], key=_key)
+    lines = ",\n".join(json.dumps(one, sort_keys=True) for one in record.pop("runs"))
+    head = json.dumps(record, sort_keys=True)[:-1]
+    path.write_text(f'{head}, "runs": [\n{lines}\n]}}\n')
+
+
+def _key(run: dict[str, Any]) -> tuple[str, str, int, int]:
+    return str(run["source"]), str(run["case"]), int(run["nodes"]), int(run["seed"])
+
+
 def _figure(seconds: list[float], percent: int) -> float | None:
     return round(float(np.percentile(seconds, percent)), 3) if seconds else None
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -978,6 +978,8 @@
     world.net.damage = {}
     for name in names:
         world.processes[name].mute = False
+    world.run(20_000.0)  # those that stand still wake up, and may yet be killed amid a publish that waited
+    for name in names:
         if not world.processes[name].up:
             world.restart(name)
     world.run(60_000.0)
