--- a/fawngw/feed/hub.py
+++ b/fawngw/feed/hub.py
@@ -113,7 +113,7 @@
         now = self._enter(now)
         if self._closed or len(self._watches) >= self.tuning.followers:
             self.counts["turned_away"] += 1
-            self._out.sends.append((link, encode(Bye("full"), self._tag)))
+            self._out.sends.append((link, encode(Bye("closing" if self._closed else "full"), self._tag)))
             self._out.hangups.append(link)
             return
         tuning = self.tuning
--- a/fawngw/lab/feedledger.py
+++ b/fawngw/lab/feedledger.py
@@ -5,7 +5,8 @@
 from functools import partial
 
 from fawngw.feed.model import Document, FeedError, make_document
-from fawngw.lab.feedworld import Process, World
+from fawngw.lab.feedprocess import Process
+from fawngw.lab.feedworld import World
 
 FSYNC_MS = (2.0, 10.0)
 STEPS = ("received", "appended", "synced", "announced")  # of a publish, in order
--- /dev/null
+++ b/fawngw/lab/feedprocess.py
@@ -0,0 +1,52 @@
+"""What a simulated process of the feed is over its restarts, one life of it, and what it is owed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from fawngw.feed.follower import Follower
+from fawngw.feed.hub import Hub
+from fawngw.feed.model import Document, Head, Server
+from fawngw.lab.engine import Planned
+from fawngw.lab.feednet import End
+
+
+@dataclass
+class Spec:
+    """What a process is, over its restarts."""
+
+    name: str
+    role: str  # node, relay or publisher
+    region: str
+    zone: str
+    service: str
+    address: str
+    servers: tuple[Server, ...]
+    disk: dict[str, Document] = field(default_factory=dict)  # what it finds there after a restart
+
+
+class Process:
+    """One life of a process."""
+
+    def __init__(self, spec: Spec, follower: Follower | None, hub: Hub | None, offset: float) -> None:
+        self.spec, self.name = spec, spec.name
+        self.follower, self.hub = follower, hub
+        self.offset = offset  # of its clock, in ms
+        self.up, self.frozen, self.mute = True, False, False
+        self.mailbox: list[Callable[[], None]] = []
+        self.wake: Planned | None = None
+        self.wake_at = float("inf")
+        self.ends: dict[tuple[str, int], End] = {}  # side ("f" or "h") and link
+        self.links = 0  # of its hub
+        self.spins = 0
+
+
+@dataclass(eq=False)
+class Change:
+    """A document that was acknowledged: who is to have it in force, and who had it after how many ms."""
+
+    head: Head
+    at: float
+    owed: dict[str, float]  # name, and since when it counts for that one
+    took: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/tests/test_feed_cores.py
@@ -0,0 +1,673 @@
+"""The feed's messages, and a follower and a hub whose other ends the test plays by hand."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from fawngw.feed.follower import Follower
+from fawngw.feed.hub import Hub
+from fawngw.feed.messages import (
+    Absent,
+    AskStatus,
+    Beat,
+    Body,
+    Bye,
+    Fetch,
+    Heads,
+    Hello,
+    Message,
+    Publish,
+    Published,
+    Refused,
+    Report,
+    Status,
+)
+from fawngw.feed.model import (
+    Document,
+    FeedError,
+    Head,
+    Interest,
+    Server,
+    Standing,
+    State,
+    Tuning,
+    make_document,
+    order,
+    split_scope,
+    wanted,
+)
+from fawngw.feed.status import merge
+from fawngw.feed.table import Table
+from fawngw.feed.wire import LENGTH, Foreign, Kind, Reader, decode, encode, tag
+
+T = tag("c")
+
+
+def doc(
+    version: int = 1, body: bytes = b"{}", *, scope: str = "all", era: int = 1, by: str = "p-east"
+) -> Document:
+    return make_document(scope, era, version, body, author="ops", reason="test", writer=by)
+
+
+# ---------------------------------------------------------------- words and bytes
+
+HEAD = doc(7, b"x" * 40, scope="service/s1").head
+MARK = HEAD.mark
+MESSAGES: list[Message] = [
+    Hello("n1", "node", "east", "e1", "s1", False, 7, (MARK,)),
+    Heads((HEAD, doc(2).head)),
+    Fetch(MARK, 16, 24),
+    Body(MARK, 16, b"\x00" * 24),
+    Absent(MARK, "busy"),
+    Beat(2**55),
+    Report("n1", 7, 3, (Standing(MARK, State.REFUSED, "no such key"),)),
+    AskStatus(9),
+    Status(9, {"name": "r1", "heads": []}),
+    Publish(1, "node/n1", b"{}", "me", "why", "east", 4, True),
+    Published(1, HEAD),
+    Refused(1, "publish to p-west"),
+    Bye("in order"),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_a_message_comes_back_as_it_was_and_no_changed_bit_of_it_does(message: Message) -> None:
+    frame = encode(message, T)
+    reader = Reader(T)
+    found = [item for byte in frame for item in reader.feed(bytes([byte]))]
+    assert found == [(message, len(frame))]
+    body = frame[LENGTH.size :]
+    for at in range(len(body)):
+        for bit in (0, 3, 7):
+            damaged = body[:at] + bytes([body[at] ^ (1 << bit)]) + body[at + 1 :]
+            with pytest.raises(Foreign):
+                decode(damaged, T)
+    for cut in range(len(body)):
+        with pytest.raises(Foreign):
+            decode(body[:cut], T)
+
+
+def test_every_kind_of_message_is_among_those_tried() -> None:
+    assert len({type(m) for m in MESSAGES}) == len(Kind)
+
+
+def test_a_stream_tells_what_is_wrong_with_it() -> None:
+    good = encode(Beat(1), T)
+    cases = {
+        "cluster": encode(Beat(1), tag("other")),
+        "magic": LENGTH.pack(20) + b"GET / HTTP/1.1\r\n\r\n..",
+        "oversized": LENGTH.pack(2_000_000),
+        "checksum": good[:-1] + bytes([good[-1] ^ 1]),
+        "malformed": LENGTH.pack(3) + b"CF\x01",
+    }
+    for kind, data in cases.items():
+        reader = Reader(T, 1_000_000)
+        found = [item for item, _ in reader.feed(data + good)]
+        assert isinstance(found[0], Foreign) and found[0].kind == kind
+        # After a frame that is merely damaged the stream goes on; otherwise nothing more is believed.
+        assert found[1:] == ([Beat(1)] if not found[0].fatal else [])
+
+
+def test_scopes() -> None:
+    assert order(["node/n1", "all", "service/b", "region/r", "service/a"]) == [
+        "all",
+        "region/r",
+        "service/a",
+        "service/b",
+        "node/n1",
+    ]
+    assert wanted("all", "", "", "") and wanted("region/east", "east", "s", "n")
+    assert not wanted("region/west", "east", "s", "n") and not wanted("node/n2", "east", "s", "n")
+    for bad in ("", "al", "all/", "region", "region/", "zone/z", "node/a b", "node/" + "x" * 65, "node/a/b"):
+        with pytest.raises(FeedError):
+            split_scope(bad)
+    with pytest.raises(FeedError, match="reason is longer"):
+        make_document("all", 1, 1, b"", author="", reason="x" * 201, writer="")
+
+
+# ---------------------------------------------------------------- one follower, servers played by hand
+
+
+class Played:
+    """A follower of two servers, each word of which the test says itself."""
+
+    def __init__(
+        self, tuning: Tuning | None = None, interest: Interest | None = None, **more: object
+    ) -> None:
+        self.now, self.seen = 0.0, list[tuple[int, Message]]()
+        self.applied: list[Document] = []
+        self.why = ""
+        self.hangups: list[int] = []
+        servers = [Server("a:1", "east", "e1"), Server("b:1", "east", "e2"), Server("c:1", "west", "w1")]
+        self.follower = Follower(
+            "c",
+            "n1",
+            servers,
+            Interest("east", "s1", "n1"),
+            region="east",
+            zone="e1",
+            rng=random.Random(1),
+            birth=7,
+            now=0.0,
+            tuning=tuning,
+            **more,  # type: ignore[arg-type]
+        )
+        self.links: dict[str, int] = {}
+        self.to(1_000.0)
+        for name, link in list(self.links.items()):
+            self.follower.connected(link, self.now)
+            self.say(name, Hello(name, "relay"))
+
+    def to(self, now: float) -> None:
+        """Go on to a time, with ticks as they are due."""
+        while self.follower.next_at() <= now:
+            self.now = max(self.now, self.follower.next_at())
+            self.follower.tick(self.now)
+            self._take()
+        self.now = now
+        self.follower.tick(now)
+        self._take()
+
+    def wait(self, ms: float) -> None:
+        """Go on for so long, with all servers alive and holding what the follower holds."""
+        for _ in range(int(ms // 1_000.0)):
+            self.to(self.now + 1_000.0)
+            for server in self.links:
+                self.say(server, Beat(self.follower.table.digest(self.follower.interest)))
+
+    def say(self, server: str, message: Message | bytes) -> None:
+        data = message if isinstance(message, bytes) else encode(message, T)
+        self.follower.received(self.links[server], data, self.now)
+        self._take()
+
+    def _take(self) -> None:
+        out = self.follower.take()
+        for dial in out.dials:
+            self.links[dial.address[0]] = dial.link
+        for link, frame in out.sends:
+            self.seen.append((link, decode(frame[LENGTH.size :], T)))
+        self.hangups += out.hangups
+        for document in out.apply:
+            self.applied.append(document)
+            self.follower.applied(document.head.scope, document.head, self.why, self.now)
+            self._take()
+
+    def fetches(self, server: str) -> list[Fetch]:
+        return [m for link, m in self.seen if link == self.links[server] and isinstance(m, Fetch)]
+
+    def give(self, server: str, document: Document) -> None:
+        """Told of by a server, and given by it."""
+        self.say(server, Heads((document.head,)))
+        self.to(self.now + Tuning().near_ms + 1.0)
+        self.say(server, Body(document.head.mark, 0, document.body))
+
+    def versions(self) -> list[int]:
+        return [document.head.version for document in self.applied]
+
+
+def test_heads_come_from_both_servers_and_the_body_once_from_the_nearer() -> None:
+    p = Played()
+    assert list(p.links) == ["a", "b"]
+    d = doc(1, b"body")
+    p.say("b", Heads((d.head,)))
+    assert not p.fetches("b")  # the nearer is given time to tell of it as well
+    p.say("a", Heads((d.head,)))
+    assert [f.length for f in p.fetches("a")] == [4] and not p.fetches("b")
+    p.say("a", Body(d.head.mark, 0, b"body"))
+    assert p.applied == [d] and p.follower.in_force("all") == d
+    p.wait(10_000.0)
+    assert not p.fetches("b") and len(p.fetches("a")) == 1
+
+
+def test_a_body_that_stalls_is_taken_over_where_it_stopped() -> None:
+    p = Played()
+    d = doc(1, b"0123456789")
+    for server in ("a", "b"):
+        p.say(server, Heads((d.head,)))
+    p.say("a", Body(d.head.mark, 0, b"0123"))
+    p.to(p.now + 990.0)
+    assert not p.fetches("b")
+    p.to(p.now + 20.0)
+    assert [(f.offset, f.length) for f in p.fetches("b")] == [(4, 6)]
+    p.say("b", Body(d.head.mark, 4, b"456789"))
+    assert p.applied == [d] and p.follower.counts["taken_over"] == 1
+    # The one that stalled is asked last for a while.
+    e = doc(2, b"abc")
+    for server in ("a", "b"):
+        p.say(server, Heads((e.head,)))
+    assert len(p.fetches("a")) == 1 and len(p.fetches("b")) == 2
+
+
+def test_a_server_that_is_lost_amid_a_body_is_replaced_at_once() -> None:
+    p = Played()
+    d = doc(1, b"0123456789")
+    for server in ("a", "b"):
+        p.say(server, Heads((d.head,)))
+    p.say("a", Body(d.head.mark, 0, b"01"))
+    p.follower.lost(p.links["a"], p.now)
+    p._take()
+    assert [(f.offset, f.length) for f in p.fetches("b")] == [(2, 8)]
+
+
+def test_a_body_that_is_not_its_heads_is_never_applied_and_asked_elsewhere() -> None:
+    p = Played()
+    d = doc(1, b"0123456789")
+    for server in ("a", "b"):
+        p.say(server, Heads((d.head,)))
+    p.say("a", Body(d.head.mark, 0, b"0123456780"))
+    assert p.applied == [] and p.follower.counts["dropped_digest"] == 1
+    assert len(p.fetches("a")) == 1
+    p.to(p.now + 1_100.0)
+    assert [(f.offset, f.length) for f in p.fetches("b")] == [(0, 10)]
+    p.say("b", Body(d.head.mark, 0, d.body))
+    assert p.applied == [d]
+
+
+def test_pieces_of_two_servers_that_do_not_fit_are_followed_by_a_whole_from_one() -> None:
+    p = Played()
+    d = doc(1, b"0123456789")
+    for server in ("a", "b"):
+        p.say(server, Heads((d.head,)))
+    p.say("a", Body(d.head.mark, 0, b"xx"))  # wrong, though its checksum is right
+    p.to(p.now + 1_001.0)
+    p.say("b", Body(d.head.mark, 2, b"23456789"))
+    assert p.applied == [] and p.follower.counts["dropped_digest"] == 1
+    p.wait(5_000.0)
+    asked = p.fetches("b")[-1]
+    assert (asked.offset, asked.length) == (0, 10)
+    p.say("b", Body(d.head.mark, 0, d.body))
+    assert p.applied == [d]
+
+
+def test_a_head_whose_body_nobody_has_does_not_stop_an_honest_one() -> None:
+    p = Played()
+    lie = Head("all", 1, 99, b"\x01" * 32, 4, "x", "", "p-east")
+    p.say("a", Heads((lie,)))
+    p.say("b", Heads((doc(6, b"good").head,)))
+    p.say("a", Body(lie.mark, 0, b"evil"))
+    p.to(p.now + 1_500.0)
+    p.say("b", Body(doc(6, b"good").head.mark, 0, b"good"))
+    assert p.versions() == [6]
+
+
+def test_damaged_frames_are_left_out_and_too_many_end_the_link() -> None:
+    p = Played()
+    good = encode(Heads((doc().head,)), T)
+    bad = good[:-3] + bytes([good[-3] ^ 16]) + good[-2:]
+    for _ in range(2):
+        p.say("a", bad)
+    assert p.follower.counts["dropped_checksum"] == 2 and not p.hangups
+    p.say("a", good)
+    assert p.fetches("a")
+    p.say("a", bad)
+    assert p.hangups == [p.links["a"]]
+
+
+def test_another_clusters_server_is_left_at_once() -> None:
+    p = Played()
+    p.say("a", encode(Heads((doc().head,)), tag("elsewhere")))
+    assert p.hangups == [p.links["a"]] and p.follower.counts["dropped_cluster"] == 1
+    assert not p.fetches("a")
+
+
+def test_a_document_that_is_too_large_is_not_asked_for() -> None:
+    p = Played(Tuning(document_bytes=1_000))
+    p.say("a", Heads((doc(1, b"x" * 1_001).head,)))
+    p.wait(5_000.0)
+    assert not p.fetches("a") and p.follower.counts["dropped_too_large"] == 1
+    p.give("a", doc(2, b"x" * 1_000))
+    assert p.versions() == [2]
+
+
+def test_what_is_older_or_told_again_changes_nothing() -> None:
+    p = Played()
+    old, new = doc(4, b"old"), doc(5, b"new")
+    p.give("a", new)
+    asked = len(p.fetches("a"))
+    for replay in (Heads((old.head,)), Body(old.head.mark, 0, b"old"), Heads((new.head,))):
+        p.say("a", replay)
+    p.say("b", Body(new.head.mark, 0, b"new"))
+    p.to(p.now + 3_000.0)
+    assert p.versions() == [5] and len(p.fetches("a")) == asked and not p.fetches("b")
+    counts = p.follower.counts
+    assert counts["dropped_older"] == 1 and counts["known"] == 1 and counts["dropped_unasked"] == 2
+    p.give("a", doc(1, b"restored", era=2))  # a publisher restored from a backup: a new era goes over it
+    assert p.follower.in_force("all") == doc(1, b"restored", era=2)
+
+
+def test_a_newer_version_takes_the_place_of_one_under_way() -> None:
+    p = Played()
+    p.say("a", Heads((doc(1, b"0123").head,)))
+    p.say("a", Body(doc(1, b"0123").head.mark, 0, b"01"))
+    p.say("a", Heads((doc(2, b"4567").head,)))
+    p.say("a", Body(doc(1, b"0123").head.mark, 2, b"23"))
+    assert p.applied == []
+    p.say("a", Body(doc(2, b"4567").head.mark, 0, b"4567"))
+    assert p.versions() == [2] and p.follower.counts["coalesced"] == 1
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_two_answers_are_shown_and_one_rule_chooses_whichever_came_first(first: int) -> None:
+    p = Played()
+    answers = [doc(3, b"of the east", by="p-east"), doc(3, b"of the west", by="p-west")]
+    p.give("a", answers[first])
+    p.give("b", answers[1 - first])
+    assert p.follower.in_force("all") == answers[1]
+    (conflict,) = p.follower.conflicts()
+    assert (conflict.kept, conflict.dropped) == (answers[1].head, answers[0].head)
+    assert conflict.rule == "writer" and p.follower.counts["conflicts"] == 1
+
+
+def test_a_refused_version_leaves_the_last_good_one_and_a_new_version_mends_it() -> None:
+    p = Played()
+    p.give("a", doc(1, b"good"))
+    p.why = "no such key: speeed"
+    p.give("a", doc(2, b"bad"))
+    assert p.follower.in_force("all") == doc(1, b"good")
+    (standing,) = p.follower.standings()
+    assert (standing.mark.version, standing.state, standing.why) == (2, State.REFUSED, "no such key: speeed")
+    told = [m for _, m in p.seen if isinstance(m, Report)]
+    assert told[-1].standings == (standing,) and told[-1].counter > told[0].counter
+    p.why = ""
+    p.give("a", doc(3, b"good"))
+    assert p.follower.in_force("all") == doc(3, b"good")
+
+
+def test_standings_are_told_to_both_servers_on_change_and_whole_to_a_new_one() -> None:
+    p = Played()
+    p.give("a", doc(1, b"x"))
+    p.give("a", doc(1, b"y", scope="service/s1"))
+    assert sorted(link for link, m in p.seen if isinstance(m, Report)) == sorted(list(p.links.values()) * 2)
+    lost = p.links["b"]
+    p.follower.lost(lost, p.now)
+    p._take()
+    p.to(p.now + 2_000.0)
+    assert p.links["b"] != lost
+    p.follower.connected(p.links["b"], p.now)
+    p.say("b", Hello("b", "relay"))
+    (report,) = [m for link, m in p.seen if isinstance(m, Report) and link == p.links["b"]]
+    assert [s.mark.scope for s in report.standings] == ["all", "service/s1"]
+
+
+def test_what_was_kept_is_in_force_without_any_server() -> None:
+    p = Played(kept=[doc(3, b"kept"), doc(1, b"of another", scope="node/other")])
+    assert p.follower.in_force("all") == doc(3, b"kept") and p.follower.in_force("node/other") is None
+    hello = next(m for _, m in p.seen if isinstance(m, Hello))
+    assert hello.vector == (doc(3, b"kept").head.mark,)
+
+
+def test_differing_digests_bring_the_vector_less_and_less_often() -> None:
+    p = Played()
+    hellos = len([m for _, m in p.seen if isinstance(m, Hello)])
+    times = []
+    for _ in range(60):
+        p.to(p.now + 2_000.0)
+        before = len(p.seen)
+        for server in ("a", "b"):
+            p.say(server, Beat(1 if server == "a" else 0))
+        times += [p.now for link, m in p.seen[before:] if isinstance(m, Hello)]
+    assert hellos == 2 and 4 <= len(times) <= 7  # of 60 beats
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert gaps == sorted(gaps)
+
+
+def test_a_server_that_falls_silent_is_given_up_and_one_that_beats_is_not() -> None:
+    p = Played()
+    for _ in range(4):
+        p.to(p.now + 1_400.0)
+        p.say("a", Beat(0))
+    assert p.hangups == [p.links["b"]]
+
+
+def test_a_process_that_slept_blames_nobody() -> None:
+    p = Played()
+    p.now += 15_000.0
+    p.follower.tick(p.now)
+    p._take()
+    assert not p.hangups and p.follower.counts["slept"] == 1
+    p.give("a", doc(1, b"news"))
+    assert p.versions() == [1]
+
+
+def test_times_that_go_back_are_taken_for_none_gone_by() -> None:
+    p = Played()
+    p.to(50_000.0 - 46_000.0)
+    p.now -= 3_000.0
+    p.say("a", Beat(0))
+    p.say("b", Beat(0))
+    p.give("a", doc(1, b"news"))
+    assert p.versions() == [1] and not p.hangups
+
+
+def test_no_more_is_asked_for_than_the_tokens_allow() -> None:
+    tuning = Tuning(bytes_per_s=1_000.0, bytes_saved=10_000.0)
+    p = Played(tuning)
+    body = random.Random(1).randbytes(30_000)
+    d = doc(1, body)
+    p.say("a", Heads((d.head,)))
+    began, given = p.now, 0
+    while not p.applied:
+        for server in ("a", "b"):
+            p.say(server, Beat(0))
+        asked = p.fetches("a")
+        if given < len(asked):
+            f = asked[given]
+            given += 1
+            p.say("a", Body(f.mark, f.offset, body[f.offset : f.offset + f.length]))
+        total = sum(f.length for f in asked)
+        assert total <= 10_000 + (p.now - began) / 1000.0 * 1_000.0
+        p.to(p.now + 500.0)
+    assert 18_000.0 < p.now - began < 40_000.0
+
+
+# ---------------------------------------------------------------- one hub, followers played by hand
+
+
+class Served:
+    """A hub whose links the test plays."""
+
+    def __init__(self, tuning: Tuning | None = None, publishes: bool = False) -> None:
+        self.now = 0.0
+        self.hub = Hub("c", "r1", table=Table(tuning), publishes=publishes, now=0.0, tuning=tuning)
+        self.said: dict[int, list[Message]] = {}
+        self.hangups: list[int] = []
+
+    def watch(self, link: int, name: str, *vector: Document, everything: bool = False) -> None:
+        self.hub.accepted(link, self.now)
+        role = "relay" if everything else "node"
+        marks = tuple(document.head.mark for document in vector)
+        self.say(link, Hello(name, role, "east", "e1", "s1", everything, link, marks))
+
+    def say(self, link: int, message: Message) -> None:
+        self.hub.received(link, encode(message, T), self.now)
+        self.take()
+
+    def take(self) -> None:
+        out = self.hub.take()
+        for link, frame in out.sends:
+            self.said.setdefault(link, []).append(decode(frame[LENGTH.size :], T))
+        self.hangups += out.hangups
+
+    def to(self, now: float) -> None:
+        while self.hub.next_at() <= now:
+            self.now = max(self.now, self.hub.next_at())
+            self.hub.tick(self.now)
+            self.take()
+        self.now = now
+
+    def announce(self, document: Document) -> None:
+        self.hub.announce(document, self.now)
+        self.take()
+
+    def heads(self, link: int) -> list[int]:
+        return [h.version for m in self.said.get(link, []) if isinstance(m, Heads) for h in m.heads]
+
+    def pieces(self, link: int) -> list[Body]:
+        return [m for m in self.said.get(link, []) if isinstance(m, Body)]
+
+
+def test_a_watch_begins_with_what_is_newer_and_goes_on_with_what_is_meant_for_it() -> None:
+    s = Served()
+    for d in (doc(5), doc(2, scope="region/east"), doc(9, scope="region/west"), doc(4, scope="node/n2")):
+        s.announce(d)
+    s.watch(1, "n1", doc(5))
+    s.watch(2, "n2", doc(4))
+    s.watch(3, "r2", everything=True)
+    assert s.heads(1) == [2] and sorted(s.heads(2)) == [2, 4, 5] and sorted(s.heads(3)) == [2, 4, 5, 9]
+    s.announce(doc(10, scope="region/west"))
+    s.announce(doc(6))
+    assert s.heads(1) == [2, 6] and s.heads(2)[-1] == 6 and s.heads(3)[-2:] == [10, 6]
+
+
+def test_a_link_that_takes_nothing_is_told_the_newest_only_once_it_does() -> None:
+    s = Served()
+    s.watch(1, "n1")
+    s.hub.blocked(1, True, s.now)
+    for version in range(1, 50):
+        s.announce(doc(version))
+    s.to(5_000.0)
+    assert s.heads(1) == []
+    s.hub.blocked(1, False, s.now)
+    s.take()
+    assert s.heads(1) == [49]
+
+
+def test_a_link_that_takes_nothing_for_long_is_dropped_and_so_is_a_silent_one() -> None:
+    s = Served()
+    s.watch(1, "n1")
+    s.watch(2, "n2")
+    s.hub.blocked(1, True, s.now)
+    for _ in range(20):
+        s.to(s.now + 1_500.0)
+        s.say(1, Beat(0))
+    assert s.hangups == [2, 1] or s.hangups == [1, 2]
+    assert s.hub.followers == 0
+
+
+def test_bodies_go_out_in_pieces_within_the_bytes_of_the_link_and_of_the_hub() -> None:
+    tuning = Tuning(hub_bytes_per_s=50_000.0, hub_bytes_saved=50_000.0, link_bytes_per_s=20_000.0)
+    s = Served(tuning)
+    d = doc(1, random.Random(1).randbytes(100_000))
+    s.announce(d)
+    for link in range(1, 11):
+        s.watch(link, f"n{link}")
+        s.say(link, Fetch(d.head.mark, 0, 100_000))
+    for _ in range(60):
+        sent = sum(len(piece.data) for link in range(1, 11) for piece in s.pieces(link))
+        assert sent <= 50_000 + s.now / 1000.0 * 50_000 + tuning.piece_bytes
+        for link in range(1, 11):
+            got = sum(len(piece.data) for piece in s.pieces(link))
+            assert got <= tuning.link_bytes_saved + s.now / 1000.0 * 20_000 + tuning.piece_bytes
+            s.say(link, Beat(0))
+        s.to(s.now + 500.0)
+    for link in range(1, 11):
+        assert b"".join(piece.data for piece in s.pieces(link)) == d.body
+        assert all(len(piece.data) <= tuning.piece_bytes for piece in s.pieces(link))
+
+
+def test_fetches_beyond_the_queue_are_told_to_come_again() -> None:
+    s = Served(Tuning(hub_bytes_per_s=1_000.0, hub_bytes_saved=1_000.0, queue=5, fetches=2))
+    d = doc(1, b"x" * 5_000)
+    s.announce(d)
+    for link in range(1, 31):
+        s.watch(link, f"n{link}")
+    for link in range(1, 31):
+        for _ in range(80):
+            s.say(link, Fetch(d.head.mark, 0, 5_000))
+    busy = sum(isinstance(m, Absent) and m.why == "busy" for said in s.said.values() for m in said)
+    assert busy == s.hub.counts["busy"] >= 30 * (80 - 64)
+
+
+def test_what_is_held_no_longer_is_told_to_be_gone() -> None:
+    s = Served()
+    s.announce(doc(1, b"one"))
+    s.watch(1, "n1")
+    s.announce(doc(2, b"two"))
+    s.say(1, Fetch(doc(1, b"one").head.mark, 0, 3))
+    assert s.said[1][-1] == Absent(doc(1, b"one").head.mark, "gone")
+
+
+def test_a_hub_takes_so_many_links_and_turns_others_away() -> None:
+    s = Served(Tuning(followers=3))
+    for link in range(1, 5):
+        s.watch(link, f"n{link}")
+    assert s.hangups == [4] and s.said[4] == [Bye("full")] and s.hub.followers == 3
+
+
+def test_only_a_publisher_takes_publishes() -> None:
+    s = Served()
+    s.hub.accepted(1, 0.0)
+    s.say(1, Publish(8, "all", b"", "me", ""))
+    assert s.said[1] == [Refused(8, "a relay takes no documents; publish to a publisher")]
+    s = Served(publishes=True)
+    s.hub.accepted(1, 0.0)
+    s.hub.received(1, encode(Publish(8, "all", b"", "me", ""), T), 0.0)
+    ((link, request),) = s.hub.take().requests
+    s.hub.answer(link, Published(request.number, HEAD), 1.0)
+    s.take()
+    assert s.said[1] == [Published(8, HEAD)]
+
+
+def test_messages_out_of_place_or_damaged_end_a_followers_link() -> None:
+    s = Served()
+    s.hub.accepted(1, 0.0)
+    s.say(1, Fetch(MARK, 0, 1))
+    s.hub.accepted(2, 0.0)
+    s.hub.received(2, encode(Beat(0), tag("other")), 0.0)
+    s.take()
+    assert s.hangups == [1, 2] and s.hub.counts["dropped_cluster"] == 1
+
+
+def test_status_of_two_hubs_is_put_together_by_counter_and_age() -> None:
+    one, two = Served(), Served()
+    new, old = doc(2, b"new"), doc(1, b"old")
+    one.announce(new)
+    two.announce(old)
+    for s in (one, two):
+        s.watch(1, "n1")
+        s.watch(2, "n2")
+        s.watch(3, "gone")
+    for s, d, counter in ((one, new, 5), (two, old, 4)):
+        s.say(1, Report("n1", 1, counter, (Standing(d.head.mark, State.IN_FORCE),)))
+    two.say(2, Report("n2", 2, 1, (Standing(new.head.mark, State.REFUSED, "no"),)))
+    two.say(2, Report("n2", 2, 0, (Standing(old.head.mark, State.IN_FORCE),)))  # an older report
+    two.say(2, Report("n1", 1, 9, ()))  # it speaks for another
+    for s in (one, two):
+        s.hub.lost(3, 10.0)
+    for statuses in (
+        [one.hub.status(20.0), two.hub.status(20.0)],
+        [two.hub.status(20.0), one.hub.status(20.0)],
+    ):
+        found = merge(statuses)
+        assert found["heads"]["all"]["version"] == 2
+        n1, n2, gone = (found["followers"][name] for name in ("n1", "n2", "gone"))
+        assert n1["lags"] == [] and n1["standings"][0]["version"] == 2
+        assert n2["refused"] == {"all": "no"} and n2["lags"] == []
+        assert gone["lags"] == ["all"] and not gone["linked"]
+    # It is also what goes over the wire.
+    one.hub.accepted(9, 20.0)
+    one.say(9, AskStatus(4))
+    answer = one.said[9][0]
+    assert isinstance(answer, Status) and merge([answer.value])["followers"]["n1"]["counter"] == 5
+
+
+def test_a_table_is_bounded_and_only_moves_on() -> None:
+    table = Table(Tuning(documents=2, table_bytes=100))
+    assert table.put(doc(2, b"x" * 40)) and not table.put(doc(1, b"y")) and not table.put(doc(2, b"x" * 40))
+    with pytest.raises(FeedError, match="not the one"):
+        table.put(replace(doc(3, b"x"), body=b"y"))
+    with pytest.raises(FeedError, match="full"):
+        table.put(doc(1, b"x" * 61, scope="region/east"))
+    assert table.put(doc(1, b"x" * 60, scope="region/east")) and table.bytes == 100
+    with pytest.raises(FeedError, match="full"):
+        table.put(doc(1, b"", scope="region/west"))
+    assert table.put(doc(3, b"")) and table.bytes == 60
+    other = Table()
+    for d in (doc(1, b"x" * 60, scope="region/east"), doc(3, b"")):
+        other.put(d)
+    everything = Interest(everything=True)
+    assert table.digest(everything) == other.digest(everything) != 0
+    assert table.digest(Interest("west")) == Table().digest(Interest()) ^ other.digest(Interest("west"))
