--- a/tests/test_feed_cores.py
+++ b/tests/test_feed_cores.py
@@ -685,3 +685,14 @@
     everything = Interest(everything=True)
     assert table.digest(everything) == other.digest(everything) != 0
     assert table.digest(Interest("west")) == Table().digest(Interest()) ^ other.digest(Interest("west"))
+
+
+def test_a_hub_that_slept_drops_nobody_for_it() -> None:
+    s = Served()
+    s.watch(1, "n1")
+    s.now += 60_000.0
+    s.hub.tick(s.now)
+    s.to(s.now + 5_000.0)
+    assert s.hangups == [] and s.hub.counts["slept"] == 1
+    s.to(s.now + 20_000.0)
+    assert s.hangups == [1]
