--- a/fawngw/feed/follower.py
+++ b/fawngw/feed/follower.py
@@ -16,9 +16,11 @@
 from random import Random
 
 from fawngw.feed.bucket import Bucket
+from fawngw.feed.clock import Clock
 from fawngw.feed.fetching import Fetches
 from fawngw.feed.messages import Absent, Beat, Body, Bye, Fetch, Heads, Hello, Message, Report
 from fawngw.feed.model import (
+    HEADERS,
     WHY_BYTES,
     Conflict,
     Dial,
@@ -96,13 +98,13 @@
         self._judging: dict[str, Document] = {}  # handed out and not answered yet
         self._counter = 0
         self._closed = False
-        self._now = self._seen = self._due = now
+        self._clock, self._due = Clock(now, tuning.late_ms), now
         self._out = Output()
         for document in kept:
             if interest.wants(document.head.scope) and self.table.put(document):
                 self._in_force[document.head.scope] = document
                 self._stand(document.head, State.IN_FORCE if judged else State.HELD, "")
-        self._due = self.next_at()
+        self._due = self._next()
 
     # ------------------------------------------------------------ how it stands
 
@@ -130,7 +132,7 @@
         now = self._enter(now)
         found = self._watches.links.get(link)
         if found is not None and not found.open:
-            found.open, found.since, found.heard = True, now, now
+            self._watches.opened(found, now)
             found.beat_at = now + self.tuning.beat_ms * (0.5 + 0.5 * self._rng.random())
             found.vector_at, found.vector_wait = now + self.tuning.vector_ms, self.tuning.vector_ms
             self._hello(found, now)
@@ -177,9 +179,10 @@
 
     def next_at(self) -> float:
         """When `tick` is due next, in ms."""
-        if self._closed:
-            return math.inf
-        return min(self._watches.next_at(), self._fetches.next_at())
+        return self._clock.given(self._next())
+
+    def _next(self) -> float:
+        return math.inf if self._closed else min(self._watches.next_at(), self._fetches.next_at())
 
     def take(self) -> Output:
         """All that is to be done since the last call."""
@@ -188,6 +191,7 @@
 
     def close(self, now: float, why: str = "in order") -> None:
         """Say good-bye on all links and dial no more."""
+        now = self._enter(now)
         for link in list(self._watches.links.values()):
             if link.open:
                 self._send(link, Bye(why), now)
@@ -195,15 +199,14 @@
         self._closed = True
 
     def _enter(self, now: float) -> float:
-        """The time to go by: one that never goes back.  After standing still nobody else is to blame."""
-        now = max(now, self._now)
-        if now - self._due > self.tuning.late_ms and math.isfinite(self._due):
-            still = now - self._seen
+        """The time to go by.  After standing still nobody else is to blame."""
+        still = self._clock.enter(now, self._due)
+        now = self._clock.now
+        if still:
             self._watches.shift(still)
             self._fetches.shift(still)
             self.counts["slept"] += 1
             self._tell("slept", now, {"ms": round(still, 1)})
-        self._now = self._seen = now
         return now
 
     def _after(self, now: float) -> None:
@@ -216,7 +219,7 @@
                 self.counts["dials"] += 1
                 self._out.dials.append(Dial(link.number, link.place.server.address))
             self._fetches.tick(now)
-        self._due = self.next_at()
+        self._due = self._next()
 
     # ------------------------------------------------------------ links
 
@@ -224,11 +227,11 @@
         frame = encode(message, self._tag)
         self.counts["bytes_out"] += len(frame)
         if not isinstance(message, Fetch):  # paid when it was decided upon
-            self.bucket.spend(len(frame), now)
+            self.bucket.spend(len(frame) + HEADERS, now)
         self._out.sends.append((link.number, frame))
 
     def _ask(self, link: Link, fetch: Fetch) -> None:
-        self._send(link, fetch, self._now)
+        self._send(link, fetch, self._clock.now)
 
     def _tell(self, kind: str, at: float, values: dict[str, object]) -> None:
         self._out.events.append(Event(kind, at, values))
@@ -236,16 +239,8 @@
     def _hello(self, link: Link, now: float) -> None:
         interest = self.interest
         vector = tuple(head.mark for head in self.table.heads(interest))
-        hello = Hello(
-            self.name,
-            self._role,
-            self._region,
-            self._zone,
-            interest.service,
-            interest.everything,
-            self._birth,
-            vector,
-        )
+        who = self.name, self._role, self._region, self._zone, interest.service, interest.everything
+        hello = Hello(*who, birth=self._birth, vector=vector)
         self._send(link, hello, now)
 
     def _drop(self, link: Link, now: float, why: str, hang_up: bool = True, failed: bool = True) -> None:
@@ -262,7 +257,7 @@
             return
         link.heard = now
         if not isinstance(message, Body):  # paid when it was asked for
-            self.bucket.spend(size, now)
+            self.bucket.spend(size + HEADERS, now)
         match message:
             case Hello():
                 self._greeted(link, message, now)
@@ -303,10 +298,14 @@
                 self._send(link, self._report(self.standings()), now)
 
     def _compare(self, link: Link, digest: int, now: float) -> None:
-        """Digests that go on differing: one of the two lacks something.  Ask less and less often."""
-        if digest == self.table.digest(self.interest):
+        """Digests that go on differing: one of the two lacks something.  Ask less and less often.
+
+        That they differ once is news that is on its way.
+        """
+        differed, link.differs = link.differs, digest != self.table.digest(self.interest)
+        if not link.differs:
             link.vector_wait = self.tuning.vector_ms
-        elif now >= link.vector_at and not any(s in self._fetches.wants for s in link.offers):
+        elif differed and now >= link.vector_at and not any(s in self._fetches.wants for s in link.offers):
             link.vector_at = now + link.vector_wait
             link.vector_wait = min(2.0 * link.vector_wait, self.tuning.vector_most_ms)
             self.counts["vectors"] += 1
--- a/fawngw/lab/feedsim.py
+++ b/fawngw/lab/feedsim.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
+import gc
+import json
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import numpy as np
 
 from fawngw.feed.model import FeedError, Server, Tuning
+from fawngw.lab.feedgossip import cost
 from fawngw.lab.feedledger import Publishing
 from fawngw.lab.feednet import Weather
 from fawngw.lab.feedworld import World
@@ -22,6 +26,7 @@
 SERVICES = 76
 BODY = 2_000  # bytes of a change
 WARM_MS = 15_000.0
+GOSSIP = (50, 200, 790, 1_580)  # sizes for which the way not taken is worked out
 WINDOW_S = 10  # the busiest such stretch is shown beside the mean
 
 
@@ -29,18 +34,23 @@
     """Publishers, relays and nodes in one world."""
 
     def __init__(
-        self, nodes: int, seed: int, weather: Weather | None = None, tuning: Tuning | None = None
+        self,
+        nodes: int,
+        seed: int,
+        weather: Weather | None = None,
+        tuning: Tuning | None = None,
+        regions: tuple[tuple[str, tuple[str, ...]], ...] = ZONES,
     ) -> None:
         self.world = World(seed, weather, tuning)
         self.ledger = Publishing(self.world)
-        self.rng = random.Random(seed)
-        self.zones = [(region, zone) for region, zones in ZONES for zone in zones]
-        at = {f"p-{region}": f"10.0.{i}.1:7000" for i, (region, _) in enumerate(ZONES)}
-        at |= {f"r-{zone}": f"10.0.{len(ZONES) + i}.1:7000" for i, (_, zone) in enumerate(self.zones)}
-        home = {region: zones[0] for region, zones in ZONES}
+        self.rng, self.regions = random.Random(seed), regions
+        self.zones = [(region, zone) for region, zones in regions for zone in zones]
+        at = {f"p-{region}": f"10.0.{i}.1:7000" for i, (region, _) in enumerate(regions)}
+        at |= {f"r-{zone}": f"10.0.{len(regions) + i}.1:7000" for i, (_, zone) in enumerate(self.zones)}
+        home = {region: zones[0] for region, zones in regions}
         relays = {zone: Server(at[f"r-{zone}"], region, zone) for region, zone in self.zones}
-        publishers = {region: Server(at[f"p-{region}"], region, home[region]) for region, _ in ZONES}
-        for region, _ in ZONES:
+        publishers = {region: Server(at[f"p-{region}"], region, home[region]) for region, _ in regions}
+        for region, _ in regions:
             others = tuple(server for name, server in publishers.items() if name != region)
             self.world.add(f"p-{region}", "publisher", region, home[region], others)
         for region, zone in self.zones:
@@ -73,7 +83,7 @@
 
     def scope(self) -> tuple[str, str]:
         """A scope for a change of an ordinary day, and its publisher: a half concerns all nodes."""
-        region, _ = ZONES[self.rng.randrange(len(ZONES))]
+        region, _ = self.rng.choice(self.regions)
         kind = self.rng.choice(("all", "all", "all", "region", "service", "node"))
         if kind == "all":
             return "all", "p-east"
@@ -274,7 +284,10 @@
     meter = Meter(fleet)
     meter.start()
     began = world.engine.now
+    gc.collect()
+    gc.freeze()  # nothing of the fleet goes before the run is over: it need not be looked through
     run(fleet)
+    gc.unfreeze()
     took = sorted(ms / 1000.0 for change in world.changes[first:] for ms in change.took.values())
     counts: dict[str, int] = {}
     for process in world.processes.values():
@@ -288,6 +301,7 @@
         "nodes": nodes,
         "seed": seed,
         "source": "simulated",
+        "command": f"crowpost lab feed {case} --nodes {nodes} --seed {seed}",
         "simulated_s": round((world.engine.now - began) / 1000.0, 1),
         "changes": len(world.changes) - first,
         "taken": len(took),
@@ -308,5 +322,30 @@
     }
 
 
+def put_into(path: Path, run: dict[str, Any]) -> None:
+    """Put a run into a record, in place of one of the same case, size, seed and source.
+
+    FeedError where the file is no record.
+    """
+    record: dict[str, Any] = {"schema": 1, "runs": []}
+    if path.exists():
+        try:
+            record = json.loads(path.read_text())
+            runs = record["runs"]
+            keys = [_key(old) for old in runs]
+        except (ValueError, KeyError, TypeError) as error:
+            raise FeedError(f"{path}: no record of runs: {error}") from None
+        record["runs"] = [old for old, key in zip(runs, keys, strict=True) if key != _key(run)]
+    record["gossip"] = [cost(members) for members in GOSSIP]
+    record["runs"] = sorted([*record["runs"], run], key=_key)
+    lines = ",\n".join(json.dumps(one, sort_keys=True) for one in record.pop("runs"))
+    head = json.dumps(record, sort_keys=True)[:-1]
+    path.write_text(f'{head}, "runs": [\n{lines}\n]}}\n')
+
+
+def _key(run: dict[str, Any]) -> tuple[str, str, int, int]:
+    return str(run["source"]), str(run["case"]), int(run["nodes"]), int(run["seed"])
+
+
 def _figure(seconds: list[float], percent: int) -> float | None:
     return round(float(np.percentile(seconds, percent)), 3) if seconds else None
--- a/fawngw/lab/feedworld.py
+++ b/fawngw/lab/feedworld.py
@@ -8,61 +8,21 @@
 import hashlib
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 
 from fawngw.feed.follower import Follower
 from fawngw.feed.hub import Hub
 from fawngw.feed.model import Document, Head, Interest, Server, Tuning
 from fawngw.feed.table import Table
-from fawngw.lab.engine import Engine, Planned
+from fawngw.lab.engine import Engine
 from fawngw.lab.feednet import Conn, End, Net, Weather
+from fawngw.lab.feedprocess import Change, Process, Spec
 
 CLUSTER = "world"
 LATE_MS = 0.001  # that a timer goes off after its time, as timers do; also covers the rounding of clocks
 APPLY_MS = (0.5, 3.0)  # until a node has a document in force
 
 
-@dataclass
-class Spec:
-    """What a process is, over its restarts."""
-
-    name: str
-    role: str  # node, relay or publisher
-    region: str
-    zone: str
-    service: str
-    address: str
-    servers: tuple[Server, ...]
-    disk: dict[str, Document] = field(default_factory=dict)  # what it finds there after a restart
-
-
-class Process:
-    """One life of a process."""
-
-    def __init__(self, spec: Spec, follower: Follower | None, hub: Hub | None, offset: float) -> None:
-        self.spec, self.name = spec, spec.name
-        self.follower, self.hub = follower, hub
-        self.offset = offset  # of its clock, in ms
-        self.up, self.frozen, self.mute = True, False, False
-        self.mailbox: list[Callable[[], None]] = []
-        self.wake: Planned | None = None
-        self.wake_at = float("inf")
-        self.ends: dict[tuple[str, int], End] = {}  # side ("f" or "h") and link
-        self.links = 0  # of its hub
-        self.spins = 0
-
-
-@dataclass
-class Change:
-    """A document that was acknowledged: who is to have it in force, and who had it after how many ms."""
-
-    head: Head
-    at: float
-    owed: dict[str, float]  # name, and since when it counts for that one
-    took: dict[str, float] = field(default_factory=dict)
-
-
 class World:
     """Many processes on one simulated network."""
 
@@ -74,7 +34,7 @@
         self.processes: dict[str, Process] = {}
         self.by_address: dict[str, Process] = {}
         self.changes: list[Change] = []
-        self._open: dict[str, list[Change]] = {}
+        self._open: dict[str, dict[Change, None]] = {}
         self.faults: list[str] = []  # invariants that were broken
         self.refuses: Callable[[str, Document], str] = lambda name, document: ""
         self._trace = hashlib.sha256()
@@ -167,6 +127,7 @@
             held = spec.disk.get(scope)
             if self.meant(spec, scope) and (held is None or held.head.rank < change.head.rank):
                 change.owed[name] = now
+                self._open[scope][change] = None
         return process
 
     def back(self, name: str) -> None:
@@ -374,9 +335,11 @@
             process.spec.disk[head.scope] = document
             taken.append(document)
             self.note("in force", process.name, head.scope, head.era, head.version)
-            for change in self._open.get(head.scope, ()):
+            for change in list(self._open.get(head.scope, ())):
                 if change.head.rank <= head.rank and process.name in change.owed:
                     change.took[process.name] = self.engine.now - change.owed.pop(process.name)
+                    if not change.owed:
+                        del self._open[head.scope][change]
         follower.applied(head.scope, head, why, self.engine.now + process.offset)
 
     @staticmethod
@@ -396,7 +359,7 @@
         }
         change = Change(head, now, owed)
         self.changes.append(change)
-        self._open.setdefault(head.scope, []).append(change)
+        self._open.setdefault(head.scope, {})[change] = None
 
     def unreached(self) -> dict[str, list[str]]:
         """Scope and version, and the names that should have it in force and have not."""
