--- a/tests/test_feed_real.py
+++ b/tests/test_feed_real.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import os
 import re
@@ -18,9 +19,13 @@
 
 from fawngw.cli.feed import ASK_S, ask_all, picture
 from fawngw.feed.__main__ import main as feed_main
-from fawngw.feed.carrier import ask
+from fawngw.feed.carrier import Carrier, ask
+from fawngw.feed.config import FeedConfig
 from fawngw.feed.messages import Message, Publish, Published, Refused
-from fawngw.feed.model import FeedError
+from fawngw.feed.model import Document, FeedError, Server
+from fawngw.feed.publishing import Publisher
+from fawngw.store.disk import Disk
+from fawngw.store.model import Append, Operation
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -313,6 +318,55 @@
     run(play())
 
 
+def test_a_publisher_whose_disk_is_full_takes_nothing_more_says_so_and_goes_on_telling(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def config(name: str, role: str, **more: Any) -> FeedConfig:
+        return FeedConfig(CLUSTER, name, role, "north", home="north", publishers={"north": "p"}, **more)
+
+    async def play() -> None:
+        publisher = Publisher(
+            config("p", "publisher", listen=f"{HOST}:0", directory=tmp_path / "ledger"),
+            lambda scope, body: None,
+        )
+        at = await publisher.start()
+
+        async def publish(body: bytes) -> Message:
+            return await ask(at, Publish(1, "all", body, "ann", "why not"), CLUSTER, PATIENCE_S)
+
+        assert version(await publish(b"1")) == 1
+        perform = Disk.perform
+
+        def full(disk: Disk, operation: Operation) -> int:
+            if isinstance(operation, Append):
+                raise OSError(errno.ENOSPC, "")
+            return perform(disk, operation)
+
+        monkeypatch.setattr(Disk, "perform", full)
+        for _ in range(2):
+            answer = await publish(b"2")
+            assert isinstance(answer, Refused) and "writing has stopped" in answer.why
+            assert "the disk is full" in answer.why
+        came: asyncio.Queue[Document] = asyncio.Queue()
+        watcher = Carrier(config("w", "watch", upstreams=(Server(at),)), came.put_nowait)
+        watcher.start()
+        assert (await asyncio.wait_for(came.get(), PATIENCE_S)).body == b"1"
+        found = picture(*await ask_all([at], CLUSTER, PATIENCE_S))
+        assert found["stopped"] == {"p": 1} and not found["whole"] and found["heads"]["all"]["version"] == 1
+        await watcher.close()
+        await publisher.close()
+        monkeypatch.setattr(Disk, "perform", perform)
+        publisher = Publisher(
+            config("p", "publisher", listen=f"{HOST}:0", directory=tmp_path / "ledger"),
+            lambda scope, body: None,
+        )
+        at = await publisher.start()
+        assert version(await publish(b"3")) == 2
+        await publisher.close()
+
+    run(play())
+
+
 # ---------------------------------------------------------------- the command
 
 
