--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -134,7 +134,7 @@
         server = await asyncio.start_server(nothing, HOST, 0)
         guarantees = settings()["guarantees"] | {"mustAskInMs": 10_000.0}
         async with world(row("a", f"{HOST}:9"), guarantees=guarantees) as w:
-            w.node._discovery._address = server.sockets[0].getsockname()
+            w.node._discovery.address = server.sockets[0].getsockname()
             await asyncio.sleep(60.0)
         server.close()
         assert len(calls) == 1
