--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -89,7 +89,7 @@
         discovery._random.seed(seed)
         w.node._balancer._fleet.rng.seed(seed)
         discovery.close()
-        discovery._address = end.getsockname()
+        discovery.address = end.getsockname()
         if mode == "pushed":
             discovery.subscribe()
         await asyncio.sleep(down_s)
