--- a/fawngw/lab/feedledger.py
+++ b/fawngw/lab/feedledger.py
@@ -1,10 +1,12 @@
-"""How a simulated publisher keeps what it publishes: an append, a sync that takes its time, then the word."""
+"""How a simulated publisher keeps what it publishes: the real ledger, on a disk that takes its time."""
 
 from __future__ import annotations
 
 from functools import partial
 
-from fawngw.feed.model import Document, FeedError, make_document
+from fawngw.feed.ledger import Ledger, Writers
+from fawngw.feed.messages import Publish
+from fawngw.feed.model import Document, FeedError
 from fawngw.lab.feedprocess import Process
 from fawngw.lab.feedworld import World
 
@@ -13,55 +15,60 @@
 
 
 class Publishing:
-    """A stand-in for the ledger: of what it appended a kill leaves what was synced, and no more.
+    """The ledgers of all publishers; of what one appended a kill leaves what was synced, and no more.
 
-    A document is acknowledged and announced only once it was synced.  The world keeps count.
+    A document is acknowledged and announced only once it was synced.  The world keeps count.  writers: by
+    publisher, whom it holds to be whose writer; two that do not agree give two answers.
     """
 
-    def __init__(self, world: World) -> None:
-        self._world = world
-        self._appended: dict[str, list[Document]] = {}  # by publisher: not synced yet
+    def __init__(self, world: World, writers: dict[str, Writers]) -> None:
+        self._world, self.writers = world, writers
+        self._synced: dict[str, list[bytes]] = {}  # records on the disk, by publisher
+        self._ledgers: dict[str, Ledger] = {}  # of the life at hand
         self._synced_at: dict[str, float] = {}
         world.killed = self._killed
 
     def _killed(self, name: str) -> None:
-        self._appended.pop(name, None)
+        self._ledgers.pop(name, None)
 
-    def publish(self, by: str, scope: str, body: bytes, era: int = 1, crash: str = "") -> None:
+    def _ledger(self, name: str) -> Ledger:
+        if name not in self._ledgers:
+            records = self._synced.setdefault(name, [])
+            self._ledgers[name] = Ledger(self.writers[name], _anything, records, self._world.tuning)
+        return self._ledgers[name]
+
+    def publish(self, by: str, scope: str, body: bytes, crash: str = "") -> None:
         """Publish at a publisher; crash: the step at which it is killed."""
         world = self._world
         process = world.processes[by]
         if process.frozen:
-            process.mailbox.append(partial(self.publish, by, scope, body, era, crash))
+            process.mailbox.append(partial(self.publish, by, scope, body, crash))
             return
         if not process.up or self._crashes(process, crash, "received"):
             return
         assert process.follower is not None
-        known = [document.head for document in self._appended.get(by, []) if document.head.scope == scope]
-        held = process.follower.table.get(scope)
-        if held is not None:
-            known.append(held.head)
-        newest = max(known, key=lambda head: head.rank, default=None)
-        version = 1
-        if newest is not None and newest.era >= era:
-            era, version = newest.era, newest.version + 1
-        document = make_document(scope, era, version, body, author="ops", reason="a change", writer=by)
-        self._appended.setdefault(by, []).append(document)
+        region = process.spec.region
+        asked = Publish(1, scope, body, "ops", "a change", region)
+        try:
+            record, document = self._ledger(by).publish(asked, process.follower.table)
+        except FeedError as error:
+            world.faults.append(f"{by} refuses: {error}")
+            return
         if self._crashes(process, crash, "appended"):
             return
         at = max(self._synced_at.get(by, 0.0), world.engine.now + world.rng.uniform(*FSYNC_MS))
         self._synced_at[by] = at
-        world.engine.at(at, world.call, process, partial(self._synced, process, document, crash))
+        world.engine.at(at, world.call, process, partial(self._keep, process, record, document, crash))
 
     def _crashes(self, process: Process, crash: str, step: str) -> bool:
         if crash == step:
             self._world.kill(process.name)
         return crash == step
 
-    def _synced(self, process: Process, document: Document, crash: str) -> None:
+    def _keep(self, process: Process, record: bytes, document: Document, crash: str) -> None:
         world, head = self._world, document.head
         assert process.hub is not None
-        self._appended[process.name].remove(document)
+        self._synced[process.name].append(record)
         process.spec.disk[head.scope] = document
         if self._crashes(process, crash, "synced"):
             return
@@ -73,3 +80,7 @@
         if crash == "announced":
             world.after(process)
             world.kill(process.name)
+
+
+def _anything(scope: str, body: bytes) -> None:
+    """Bodies here are no configuration: any will do."""
--- a/fawngw/lab/feedsim.py
+++ b/fawngw/lab/feedsim.py
@@ -16,6 +16,7 @@
 
 import numpy as np
 
+from fawngw.feed.ledger import Writers
 from fawngw.feed.model import FeedError, Server, Tuning
 from fawngw.lab.feedgossip import cost
 from fawngw.lab.feedledger import Publishing
@@ -42,7 +43,10 @@
         regions: tuple[tuple[str, tuple[str, ...]], ...] = ZONES,
     ) -> None:
         self.world = World(seed, weather, tuning)
-        self.ledger = Publishing(self.world)
+        by_region = {region: f"p-{region}" for region, _ in regions}
+        home_region = regions[0][0]
+        writers = {name: Writers(name, home_region, by_region) for name in by_region.values()}
+        self.ledger = Publishing(self.world, writers)
         self.rng, self.regions = random.Random(seed), regions
         self.zones = [(region, zone) for region, zones in regions for zone in zones]
         at = {f"p-{region}": f"10.0.{i}.1:7000" for i, (region, _) in enumerate(regions)}
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -6,6 +6,7 @@
 import random
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -211,7 +212,8 @@
     world.net.cut("east", "west")
     world.run(6_000.0)
     made.publish("all", "p-east")
-    made.publish("all", "p-west")  # against the rule of one writer: by hand, say
+    made.ledger.writers["p-west"] = replace(made.ledger.writers["p-west"], home="west")  # configured wrongly
+    made.publish("all", "p-west")
     world.run(5_000.0)
     assert len({world.specs[name].disk["all"].head.digest for name in made.nodes}) == 2
     world.net.join("east", "west")
