--- a/fawngw/cli/feedsim.py
+++ b/fawngw/cli/feedsim.py
@@ -22,26 +22,29 @@
     into: Annotated[
         Path | None, typer.Option("--into", help="put the runs into this record, in place of equal ones")
     ] = None,
+    table: Annotated[
+        Path | None, typer.Option("--table", help="play nothing, and print this record as a Markdown table")
+    ] = None,
 ) -> None:
     """Play changes of configuration through a simulated fleet: seconds to in force, and bytes a second.
 
     Example: crowpost lab feed calm relay-dies --nodes 140 --seed 2
     """
+    if table is not None:
+        print(_table(table))
+        return
     from fawngw.feed.model import FeedError
     from fawngw.lab.feedsim import CASES, play, put_into
 
     cases = cases or ["calm"]
     if unknown := [case for case in cases if case not in CASES]:
-        raise typer.BadParameter(f"no case {unknown[0]!r}; there are {', '.join(CASES)}")
+        raise FeedError(f"no case {unknown[0]!r}; there are {', '.join(CASES)}")
     runs: list[dict[str, Any]] = []
     for case in cases:
         found = play(case, nodes, seed)
         runs.append(found)
         if into is not None:
-            try:
-                put_into(into, found)
-            except FeedError as error:
-                raise typer.BadParameter(str(error)) from None
+            put_into(into, found)
         if not as_json:
             _show(found)
     if as_json:
@@ -50,6 +53,23 @@
         raise typer.Exit(1)
 
 
+def _table(path: Path) -> str:
+    """The runs of a record, a row each; bytes are of the busiest process of a role."""
+    from fawngw.lab.feedsim import read_record
+
+    runs = read_record(path)["runs"]
+    heads = ["case", "nodes", "seed", "changes", "p50 s", "p99 s", "worst s", "unreached"]
+    heads += ["node B/s", "busiest 10 s", "relay B/s", "publisher B/s"]
+    lines = [f"| {' | '.join(heads)} |", "|---" * len(heads) + "|"]
+    for run in runs:
+        took = run["in_force_s"]
+        row = [run["case"], run["nodes"], run["seed"], run.get("changes", ""), took["p50"], took["p99"]]
+        row += [took["worst"], run["unreached"], run["node_bytes_per_s"]]
+        row += [run.get("node_bytes_per_s_busiest_10s", ""), run["relay_bytes_per_s"]]
+        lines.append("| " + " | ".join(str(cell) for cell in [*row, run["publisher_bytes_per_s"]]) + " |")
+    return "\n".join(lines)
+
+
 def _show(run: dict[str, Any]) -> None:
     took = run["in_force_s"]
     out = console()
--- a/fawngw/lab/feedsim.py
+++ b/fawngw/lab/feedsim.py
@@ -220,6 +220,15 @@
     world.run(75_000.0)
 
 
+def _one_relay(fleet: Fleet) -> None:
+    """All relays but one are killed within a second, and stay away."""
+    world = fleet.world
+    for i, (_, zone) in enumerate(fleet.zones[1:]):
+        world.engine.after(10_000.0 + 150.0 * i, world.kill, f"r-{zone}")
+    fleet.day(24, 48_000.0)
+    world.run(75_000.0)
+
+
 def _all_back(fleet: Fleet) -> None:
     """All nodes are killed, changes are made meanwhile, and all are back within a second."""
     world = fleet.world
@@ -266,6 +275,7 @@
     "relay-half": (_relay_half, Weather()),
     "publisher-killed": (_publisher_killed, Weather()),
     "zone": (_zone, Weather()),
+    "one-relay": (_one_relay, Weather()),
     "all-back": (_all_back, Weather()),
     "cut": (lambda fleet: _cut(fleet, 60_000.0), Weather()),
     "cut-hour": (lambda fleet: _cut(fleet, 3_600_000.0), Weather()),
@@ -326,23 +336,26 @@
     }
 
 
+def read_record(path: Path) -> dict[str, Any]:
+    """A record of runs; FeedError where the file is none."""
+    try:
+        record: dict[str, Any] = json.loads(path.read_text())
+        for run in record["runs"]:
+            _key(run)
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        raise FeedError(f"{path}: no record of runs: {error!r}") from None
+    return record
+
+
 def put_into(path: Path, run: dict[str, Any]) -> None:
     """Put a run into a record, in place of one of the same case, size, seed and source.
 
-    FeedError where the file is no record.
+    FeedError where there is a file that is no record.
     """
-    record: dict[str, Any] = {"schema": 1, "runs": []}
-    if path.exists():
-        try:
-            record = json.loads(path.read_text())
-            runs = record["runs"]
-            keys = [_key(old) for old in runs]
-        except (ValueError, KeyError, TypeError) as error:
-            raise FeedError(f"{path}: no record of runs: {error}") from None
-        record["runs"] = [old for old, key in zip(runs, keys, strict=True) if key != _key(run)]
+    record = read_record(path) if path.exists() else {"schema": 1, "runs": []}
+    runs = [old for old in record.pop("runs") if _key(old) != _key(run)]
+    lines = ",\n".join(json.dumps(one, sort_keys=True) for one in sorted([*runs, run], key=_key))
     record["gossip"] = [cost(members) for members in GOSSIP]
-    record["runs"] = sorted([*record["runs"], run], key=_key)
-    lines = ",\n".join(json.dumps(one, sort_keys=True) for one in record.pop("runs"))
     head = json.dumps(record, sort_keys=True)[:-1]
     path.write_text(f'{head}, "runs": [\n{lines}\n]}}\n')
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -362,7 +362,9 @@
     # Why members do not pass changes on: what that would cost a node grows with their number.
     costs = [row["gossip_standings_bytes"] for row in record["gossip"]]
     assert costs == sorted(costs) and costs[0] > 100 * record["gossip"][0]["feed_standing_bytes"]
+    done = crowpost("--table", str(file))
+    assert done.returncode == 0 and done.stdout.splitlines()[2].startswith("| all-back | 7 | 1 | 3 |")
     file.write_text("[]")
     for arguments in (("nothing",), ("all-back", "--nodes", "7", "--into", str(file))):
         done = crowpost(*arguments)
-        assert done.returncode == 2 and "Traceback" not in done.stderr
+        assert done.returncode == 2 and len(done.stderr.splitlines()) == 1, done.stderr
