--- a/fawngw/feed/bucket.py
+++ b/fawngw/feed/bucket.py
@@ -4,17 +4,22 @@
 
 
 class Bucket:
-    """So many bytes a second, and so many saved up at the most; it begins full.  Times in ms."""
+    """So many bytes a second, and so many saved up at the most; it begins full.  Times in ms.
 
-    __slots__ = ("_at", "rate", "saved", "tokens")
+    owed: bytes that are paid and yet to come.  They count as saved up: so no stretch of time ever sees more
+    than what is saved up at the most, and the rate.
+    """
+
+    __slots__ = ("_at", "owed", "rate", "saved", "tokens")
 
     def __init__(self, rate: float, saved: float, now: float) -> None:
         self.rate, self.saved, self.tokens, self._at = rate, saved, saved, now
+        self.owed = 0
 
     def refill(self, now: float) -> float:
         """The tokens there are now; below 0 after spending in advance."""
         if now > self._at:
-            self.tokens = min(self.saved, self.tokens + (now - self._at) * self.rate / 1000.0)
+            self.tokens = min(self.saved - self.owed, self.tokens + (now - self._at) * self.rate / 1000.0)
             self._at = now
         return self.tokens
 
--- a/fawngw/feed/fetching.py
+++ b/fawngw/feed/fetching.py
@@ -9,12 +9,13 @@
 
 from fawngw.feed.bucket import Bucket
 from fawngw.feed.messages import Body, Fetch
-from fawngw.feed.model import HEADERS, Document, Head, Tuning
+from fawngw.feed.model import HEADERS, Document, Head, Mark, Tuning
 from fawngw.feed.table import Table
 from fawngw.feed.watching import Link, Watches
 
 ASKING = 110 + HEADERS  # bytes of a Fetch in practice, and of a Body around its piece
 LEAST = 4_096  # bytes worth asking for while there are few tokens
+OWED_MS = 30_000.0  # that bytes which were asked for may yet come; after that they are taken for lost
 RETRIES = 6  # doublings of the wait when nobody gives a body
 
 Tell = Callable[[str, float, dict[str, object]], None]
@@ -53,6 +54,7 @@
         self._counts, self._tuning, self._at_once = counts, tuning, at_once
         self._ask, self._tell = ask, tell
         self.wants: dict[str, Want] = {}
+        self._owed: dict[tuple[int, Mark], tuple[int, float]] = {}  # by link: bytes yet to come, asked when
         self._retry_at = math.inf
 
     # ------------------------------------------------------------ what is told
@@ -96,16 +98,20 @@
 
     def gone(self, link: Link, now: float) -> None:
         """A link is no more: what was asked there is asked elsewhere, from where it came to."""
+        for key in [key for key in self._owed if key[0] == link.number]:
+            self._settle(key)
         for scope, want in self.wants.items():
             if want.source == link.number:
                 want.source, want.until = 0, len(want.body)
             if scope in link.offers:
                 self._choose(scope, now)
 
-    def absent(self, link: Link, scope: str, digest: bytes, busy: bool, now: float) -> None:
+    def absent(self, link: Link, mark: Mark, busy: bool, now: float) -> None:
         """A server does not give what was asked."""
+        self._settle((link.number, mark))
+        scope = mark.scope
         want = self.wants.get(scope)
-        if want is None or want.source != link.number or want.head.mark.digest != digest:
+        if want is None or want.source != link.number or want.head.mark != mark:
             return
         want.source, want.until = 0, len(want.body)
         if busy:
@@ -119,6 +125,7 @@
 
     def piece(self, link: Link, body: Body, now: float) -> Document | None:
         """A piece of a body; the document, once it is whole and the body is the head's."""
+        self._settle((link.number, body.mark), len(body.data))
         want = self.wants.get(body.mark.scope)
         if want is None or want.head.mark != body.mark:
             self._counts["dropped_unasked"] += 1
@@ -164,6 +171,14 @@
             self._choose(head.scope, now)
         return None
 
+    def _settle(self, key: tuple[int, Mark], size: int | None = None) -> None:
+        """Bytes that were owed came; None: no more of them will."""
+        left, at = self._owed.pop(key, (0, 0.0))
+        came = left if size is None else min(size, left)
+        self._bucket.owed -= came
+        if left > came:
+            self._owed[key] = left - came, at
+
     def forget(self, scope: str, head: Head) -> None:
         """What came whole cannot be held: no server is asked for it again until its link is new."""
         for link in self._watches.links.values():
@@ -184,6 +199,8 @@
         self._retry_at = math.inf
         if not self.wants:
             return
+        for key in [key for key, (_, at) in self._owed.items() if now - at > OWED_MS]:
+            self._settle(key)
         links = self._watches.open_links()
         under_way = sum(want.source != 0 for want in self.wants.values())
         for want in sorted(self.wants.values(), key=lambda want: want.first_at):
@@ -255,6 +272,9 @@
             self._counts["taken_over"] += 1
             self._tell("taken_over", now, {"scope": want.head.scope, "at": have, "server": source.name})
         want.source, want.until, want.progress_at = source.number, have + length, now
+        key = source.number, want.head.mark
+        self._owed[key] = self._owed.get(key, (0, now))[0] + length, now
+        self._bucket.owed += length
         self._counts["fetches"] += 1
         self._ask(source, Fetch(want.head.mark, have, length))
         self._retry_at = min(self._retry_at, now + self._tuning.take_over_ms * 2.0**want.waits)
--- a/fawngw/feed/follower.py
+++ b/fawngw/feed/follower.py
@@ -270,7 +270,7 @@
                     self._whole(link, document, now)
             case Absent(mark, why):
                 self.counts["absent_" + ("busy" if why == "busy" else "gone")] += 1
-                self._fetches.absent(link, mark.scope, mark.digest, why == "busy", now)
+                self._fetches.absent(link, mark, why == "busy", now)
             case Beat(digest):
                 self._compare(link, digest, now)
             case Bye(why):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from fawngw.feed.follower import Follower
 from fawngw.feed.model import (
     FeedError,
     Tuning,
@@ -283,6 +284,26 @@
 )
 
 
+class Budget:
+    """Watches that no life of a node passes its bytes a second and what it had saved up."""
+
+    def __init__(self, made: Fleet) -> None:
+        self._made = made
+        self._least: dict[Follower, float] = {}
+        self.most = 0.0
+        self._look()
+
+    def _look(self) -> None:
+        world = self._made.world
+        for name in self._made.nodes:
+            core = world.processes[name].follower
+            assert core is not None
+            over = core.counts["bytes_in"] + core.counts["bytes_out"] - RATE * world.engine.now / 1000.0
+            self._least[core] = min(self._least.get(core, over), over)
+            self.most = max(self.most, over - self._least[core])
+        world.engine.after(250.0, self._look)
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_random_faults(seed: int) -> None:
     """Never an older version, never a body that is not its head's, and all agree after the last fault."""
@@ -290,6 +311,7 @@
     weather = Weather(loss=rng.choice((0.0, 0.05, 0.2)), starved=rng.choice((0.0, 0.1)))
     made = Fleet(10, seed, weather)
     world = made.world
+    budget = Budget(made)
     made.publish("all")
     world.run(3_000.0)
     world.starve()
@@ -329,6 +351,7 @@
             world.restart(name)
     world.run(60_000.0)
     settled(made)
+    assert 0.0 < budget.most <= SAVED + 4_200  # one frame of heads beyond it
     for name in made.nodes:
         ranks: dict[str, tuple[int, int, str, bytes]] = {}
         for document in world.history.get(name, []):
