--- a/tests/test_feed_cores.py
+++ b/tests/test_feed_cores.py
@@ -476,6 +476,18 @@
     assert 18_000.0 < p.now - began < 40_000.0
 
 
+def test_what_is_asked_for_and_held_back_may_come_at_once_and_is_within_the_tokens_all_the_same() -> None:
+    p = Played(Tuning(bytes_per_s=1_000.0, bytes_saved=10_000.0))
+    d = doc(1, b"x" * 8_000)
+    p.say("a", Heads((d.head,)))
+    p.wait(25_000.0)  # alive, and no body: it is asked for again as far as may be
+    asked = p.fetches("a")
+    assert len(asked) > 1 and sum(f.length for f in asked) <= 10_000
+    for f in asked:
+        p.say("a", Body(f.mark, f.offset, d.body[f.offset : f.offset + f.length]))
+    assert p.versions() == [1]
+
+
 # ---------------------------------------------------------------- one hub, followers played by hand
 
 
