--- a/fawngw/feed/fetching.py
+++ b/fawngw/feed/fetching.py
@@ -54,6 +54,7 @@
         self._counts, self._tuning, self._at_once = counts, tuning, at_once
         self._ask, self._tell = ask, tell
         self.wants: dict[str, Want] = {}
+        self.hopeless: list[Link] = []  # to be given up: what they owe leaves no room to ask another
         self._owed: dict[tuple[int, Mark], tuple[int, float]] = {}  # by link: bytes yet to come, asked when
         self._retry_at = math.inf
 
@@ -262,8 +263,9 @@
             when = self._bucket.when(least + 2 * ASKING, now)
             if when > now:
                 self._retry_at = min(self._retry_at, when)
-                if stalled:  # it is decided already whom to ask then
-                    want.source, want.until = 0, have
+                if stalled:
+                    self._give_up(want, source, least)
+                    want.source, want.until = 0, have  # it is decided already whom to ask then
                 return
         length = int(min(left, max(least, self._bucket.tokens - 2 * ASKING)))
         pieces = 1 + length // self._tuning.piece_bytes
@@ -279,6 +281,14 @@
         self._ask(source, Fetch(want.head.mark, have, length))
         self._retry_at = min(self._retry_at, now + self._tuning.take_over_ms * 2.0**want.waits)
 
+    def _give_up(self, want: Want, source: Link, least: int) -> None:
+        """What a server owes and holds back counts as saved up; if that leaves no room, the server goes."""
+        stalled = self._watches.links.get(want.source)
+        room = self._bucket.saved - self._bucket.owed
+        if stalled not in (None, source, *self.hopeless) and room < least + 2 * ASKING:
+            assert stalled is not None
+            self.hopeless.append(stalled)
+
     def next_at(self) -> float:
         """When `tick` is due; what comes or goes meanwhile calls it at once."""
         return self._retry_at
--- a/fawngw/feed/follower.py
+++ b/fawngw/feed/follower.py
@@ -21,7 +21,6 @@
 from fawngw.feed.messages import Absent, Beat, Body, Bye, Fetch, Heads, Hello, Message, Report
 from fawngw.feed.model import (
     HEADERS,
-    WHY_BYTES,
     Conflict,
     Dial,
     Document,
@@ -34,6 +33,7 @@
     State,
     Tuning,
     order,
+    shorten,
 )
 from fawngw.feed.table import Table
 from fawngw.feed.watching import Link, Watches
@@ -219,6 +219,9 @@
                 self.counts["dials"] += 1
                 self._out.dials.append(Dial(link.number, link.place.server.address))
             self._fetches.tick(now)
+            while self._fetches.hopeless:
+                self._drop(self._fetches.hopeless.pop(), now, "it holds back what was asked")
+                self._fetches.tick(now)
         self._due = self._next()
 
     # ------------------------------------------------------------ links
@@ -370,8 +373,8 @@
             self.counts["refused"] += 1
         else:
             self._in_force[scope] = document
-        self._stand(head, State.REFUSED if refused else State.IN_FORCE, _short(refused))
-        self._tell("standing", now, {"scope": scope, "version": head.version, "refused": _short(refused)})
+        self._stand(head, State.REFUSED if refused else State.IN_FORCE, shorten(refused))
+        self._tell("standing", now, {"scope": scope, "version": head.version, "refused": shorten(refused)})
         newest = self.table.get(scope)
         if newest is not None and newest.head.rank > head.rank:  # came meanwhile
             self._judging[scope] = newest
@@ -391,8 +394,3 @@
 
     def _report(self, standings: list[Standing]) -> Report:
         return Report(self.name, self._birth, self._counter, tuple(standings))
-
-
-def _short(why: str) -> str:
-    """As much of a reason as a report carries."""
-    return why.encode()[:WHY_BYTES].decode(errors="ignore")
--- a/fawngw/feed/model.py
+++ b/fawngw/feed/model.py
@@ -143,6 +143,11 @@
     why: str = ""  # it was refused
 
 
+def shorten(why: str) -> str:
+    """As much of a reason as a report carries."""
+    return why.encode()[:WHY_BYTES].decode(errors="ignore")
+
+
 @dataclass(frozen=True, slots=True)
 class Conflict:
     """Two answers for one scope in one era: which one holds, which one does not, and by which rule."""
