--- a/tests/test_feed_real.py
+++ b/tests/test_feed_real.py
@@ -318,6 +318,26 @@
     run(play())
 
 
+def test_a_publisher_that_lost_its_directory_learns_from_its_relays_and_begins_an_era(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with fleet(tmp_path, 1) as (world, started):
+            for number in range(1, 4):
+                assert version(await world.publish(connect(100.0 + number))) == number
+            await in_force([started[0][0]], 3)
+            await world.processes["p"].kill()
+            (tmp_path / "ledger").rename(tmp_path / "lost")
+            publisher = await world.hub("p", ["r0", "r1"])
+            await publisher.event("set_back", scope="all", version=3, era=2)
+            answer = await world.publish(connect(200.0), if_version=3)
+            assert isinstance(answer, Published) and (answer.head.era, answer.head.version) == (2, 4)
+            await in_force([started[0][0]], 4)
+            await publisher.kill()
+            publisher = await world.hub("p", ["r0", "r1"])
+            assert version(await world.publish({}, back=True)) == 5, "both are in the new directory"
+
+    run(play())
+
+
 def test_a_publisher_whose_disk_is_full_takes_nothing_more_says_so_and_goes_on_telling(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
