--- a/fawngw/cli/feed.py
+++ b/fawngw/cli/feed.py
@@ -35,6 +35,7 @@
 ASK_S = 1.5  # for all that are asked for a status, at once
 PUBLISH_S = 10.0
 SILENT_MS = 10_000.0  # a follower that was not heard of for so long is named
+GONE_MS = 600_000.0  # and after so long it is held to have been replaced, and only counted
 NAMED = 40  # followers that are named at the most
 
 
@@ -123,14 +124,14 @@
 def _publish(asked: Publish, at: str, cluster: str, as_json: bool) -> None:
     from fawngw.feed.carrier import ask
     from fawngw.feed.messages import Published, Refused
-    from fawngw.feed.model import make_document, split_scope
-    from fawngw.feed.wire import FRAME_BYTES
+    from fawngw.feed.model import FeedError, Tuning, make_document, split_scope
 
     split_scope(asked.scope)
     # What cannot be meant is said here, before anybody is asked; so is what no frame could carry.
     make_document(asked.scope, 0, 1, b"", author=asked.author, reason=asked.reason, writer="")
-    if len(asked.body) > FRAME_BYTES // 2:
-        raise typer.BadParameter(f"the document has {len(asked.body)} bytes: no publisher takes so many")
+    if len(asked.body) > Tuning().document_bytes:
+        most = Tuning().document_bytes
+        raise FeedError(f"{asked.scope}: {len(asked.body)} bytes, {most} at the most")
     answer = asyncio.run(ask(_addresses(at)[0], asked, _cluster(cluster), PUBLISH_S))
     if isinstance(answer, Refused):
         if as_json:
@@ -200,7 +201,9 @@
     from fawngw.feed.status import merge
 
     found = merge(told)
-    found["followers"] = {n: f for n, f in found["followers"].items() if f["role"] != "watch"}
+    followers = {n: f for n, f in found["followers"].items() if f["role"] != "watch"}
+    found["gone"] = sorted(n for n, f in followers.items() if not f["linked"] and f["age_ms"] > GONE_MS)
+    found["followers"] = {n: f for n, f in followers.items() if n not in found["gone"]}
     nodes = {name: one for name, one in found["followers"].items() if one["role"] == "node"}
     for scope, head in found["heads"].items():
         meant = {n: f for n, f in nodes.items() if wanted(scope, f["region"], f["service"], n)}
@@ -241,6 +244,8 @@
         out.print(f"{name} takes no documents: its disk has failed, see its log")
     for said in found["silent"].values():
         out.print(said)
+    if found["gone"]:
+        out.print(f"{len(found['gone'])} have not been here for ten minutes, and are left out")
     if found["whole"]:
         out.print(f"all {len(found['followers'])} that watch have all that is meant for them")
 
--- a/tests/test_feed_real.py
+++ b/tests/test_feed_real.py
@@ -436,9 +436,32 @@
     assert watched.returncode == 0 and json.loads(watched.stdout)["version"] == 3
 
 
+def test_nodes_that_were_replaced_are_left_out_of_the_picture_in_the_end() -> None:
+    def follower(name: str, linked: bool, age_ms: float) -> dict[str, Any]:
+        standing = {"scope": "all", "era": 1, "version": 1, "digest": "0", "state": "in force", "why": ""}
+        told = {"name": name, "role": "node", "region": "r", "zone": "", "service": "s", "birth": 1}
+        told |= {"counter": 1, "age_ms": age_ms, "linked": linked}
+        return told | {"standings": [{**standing, "since_ms": 5.0}]}
+
+    head = {"scope": "all", "era": 1, "version": 1, "digest": "0", "writer": "p"}
+    status: dict[str, Any] = {"name": "p", "heads": [head], "conflicts": [], "counts": {}}
+    rows = [follower("here", True, 1_000.0), follower("slow", True, 700_000.0)]
+    rows += [follower("away", False, 11_000.0), follower("replaced", False, 600_001.0)]
+    found = picture([{**status, "followers": rows}], {})
+    assert found["gone"] == ["replaced"] and list(found["followers"]) == ["away", "here", "slow"]
+    assert [n for n, f in found["followers"].items() if f["unheard"]] == ["away", "slow"] and not found[
+        "whole"
+    ]
+    assert found["heads"]["all"]["meant"] == 3
+    rows = [rows[0], rows[3]]
+    assert picture([{**status, "followers": rows}], {})["whole"]
+    assert not picture([{**status, "followers": rows}], {"h:1": "h:1: no answer"})["whole"]
+
+
 @pytest.mark.parametrize(
     ("arguments", "said"),
     [
+        (["publish", "large.json", "--scope", "all"], "all: 262145 bytes, 262144 at the most"),
         (["status", "--at", "h"], "not an address and a port: 'h'"),
         (["publish", "none", "--scope", "all"], "none: No such file or directory"),
         (["back", "zone/a"], "not a scope (all, region/R, service/S or node/N): 'zone/a'"),
@@ -446,8 +469,14 @@
     ],
 )
 def test_what_a_command_cannot_use_is_one_line_and_exit_code_2(
-    arguments: list[str], said: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+    arguments: list[str],
+    said: str,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
 ) -> None:
+    monkeypatch.chdir(tmp_path)
+    (tmp_path / "large.json").write_bytes(bytes(262_145))
     done = crowpost(
         "feed", *arguments, "--cluster", CLUSTER, *([] if "--at" in arguments else ["--at", "h:1"])
     )
