--- a/fawngw/lab/live/processes.py
+++ b/fawngw/lab/live/processes.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from collections import deque
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -90,8 +91,10 @@
         known: dict[str, Any],
         seed: int,
         state: bool = False,
+        environment: Mapping[str, str] | None = None,
     ) -> None:
         self.state = state  # whether it keeps a state directory
+        self.environment = dict(environment or {})  # beside what every node is told
         self.name, self.folder, self.discovery, self.seed = name, folder, discovery, seed
         self.settings, self.known = settings, known
         self.port = 0
@@ -118,6 +121,7 @@
             "NODE_LISTEN": f"{HOST}:{self.port}",
             "NODE_DISCOVERY": self.discovery,
             "NODE_CONFIG": str(config),
+            **self.environment,
         }
         if self.state:
             file = self.folder / f"{self.name}-state.toml"
@@ -145,10 +149,13 @@
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
         while line := (await process.stderr.readline()).decode(errors="replace").rstrip():
-            self.log.append(line)
-            if (found := LISTENS.search(line)) is not None:
-                self.port = int(found[1])
-                self._listens.set()
+            self._hear(line)
+
+    def _hear(self, line: str) -> None:
+        self.log.append(line)
+        if (found := LISTENS.search(line)) is not None:
+            self.port = int(found[1])
+            self._listens.set()
 
     async def _until_ready(self) -> None:
         process = self._process
@@ -200,6 +207,12 @@
         if self._reader is not None:
             await self._reader
 
+    @property
+    def pid(self) -> int:
+        """The present process's id."""
+        assert self._process is not None
+        return self._process.pid
+
     def memory_mb(self) -> float:
         """Resident memory now, from /proc; 0 if it has ended."""
         if self._process is None or self._process.returncode is not None:
