--- a/fawngw/lab/scale/real.py
+++ b/fawngw/lab/scale/real.py
@@ -191,7 +191,7 @@
     # ------------------------------------------------------------ calls
 
     def call(self, node: RealNode) -> None:
-        """Send this node calls from now on, open loop, at a steady rate: nodes are to differ in the duty only."""
+        """Send this node calls from now on, open loop, steady: nodes are to differ in the duty only."""
         self.tallies[node.name] = Tally()
         self._spawn(self._stream(node))
 
--- a/fawngw/lab/scale/worker.py
+++ b/fawngw/lab/scale/worker.py
@@ -21,6 +21,7 @@
 
 LINE_BYTES = 1 << 26
 TICK_S = 0.05  # between looks at how late the loop is
+BIND_TRIES = 20
 AT_ONCE = 16  # nodes that are started or ended at the same time
 
 
@@ -35,6 +36,7 @@
         self.past: Counter[str] = Counter()  # counts of processes that have ended
         self.late: list[float] = []  # ms by which the loop was late, since the last question
         self.tasks: set[asyncio.Future[None]] = set()
+        self.faults: list[str] = []  # of work beside commands
 
     async def watch(self) -> None:
         """Note how late the loop is."""
@@ -47,7 +49,9 @@
             due = max(due, loop.time() - TICK_S)
 
     async def do(self, what: str, told: dict[str, Any]) -> Any:
-        """One command; its answer as JSON values."""
+        """One command; its answer as JSON values.  OSError, also for what went wrong beside commands."""
+        if self.faults:
+            raise OSError("; ".join(self.faults[:3]))
         match what:
             case "places":
                 self.places = {p["name"]: Place(**p) for p in told["places"]}
@@ -79,7 +83,7 @@
                 for name in told["names"]:  # goes on beside other commands
                     task = asyncio.ensure_future(self._restart(name, told["settings"]))
                     self.tasks.add(task)
-                    task.add_done_callback(self.tasks.discard)
+                    task.add_done_callback(self._done)
                 return None
             case "cut":
                 self.cut.on = bool(told["on"])
@@ -100,10 +104,24 @@
 
         await asyncio.gather(*(one(name) for name in names))
 
+    def _done(self, task: asyncio.Future[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.faults.append(repr(task.exception()))
+
     async def _start(self, name: str, settings: dict[str, Any]) -> None:
-        if name not in self.running:
-            await self.nodes[name].start(settings)
+        for tries in range(BIND_TRIES):
+            if name in self.running:
+                return
+            try:
+                await self.nodes[name].start(settings)
+            except OSError:
+                if tries == BIND_TRIES - 1:
+                    raise
+                await asyncio.sleep(TICK_S)  # the loop has yet to close the sockets of the one before
+                continue
             self.running[name] = self.nodes[name]
+            return
 
     async def _end(self, name: str, in_order: bool) -> None:
         node = self.running.pop(name, None)
