--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -14,6 +14,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from fawngw.cli.scale import scale
 from fawngw.cli.terminal import console
 from fawngw.lab.runs import Folder, RunFolderError
 from fawngw.lab.scenario import Scenario, load, shipped
@@ -29,6 +30,9 @@
 DEFAULT_POLICIES = "module,random,round-robin,least-outstanding,p2c-peak-ewma,true-state"
 
 
+app.command()(scale)
+
+
 @app.command("list")
 def list_scenarios(as_json: AsJson = False) -> None:
     """The scenarios that come with the package."""
--- /dev/null
+++ b/fawngw/lab/scale/record.py
@@ -0,0 +1,119 @@
+"""The record of a scale run: points, fits, agreement and troubles as JSON values, made whole from pieces."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import os
+import subprocess
+from pathlib import Path
+from typing import Any
+
+from fawngw.lab.scale.fit import line, mean
+from fawngw.lab.scale.slopes import ABOUT, UNITS, Piece
+from fawngw.lab.scale.target import ScaleError
+
+SCHEMA = 1
+FIT_POINTS = 3
+
+
+def revision() -> str:
+    """The git revision that this file belongs to; empty outside of a checkout."""
+    try:
+        found = subprocess.run(
+            ["git", "rev-parse", "--short", "HEAD"],
+            cwd=Path(__file__).parent,
+            capture_output=True,
+            text=True,
+            timeout=10.0,
+            check=False,
+        )
+    except (OSError, subprocess.TimeoutExpired):
+        return ""
+    return found.stdout.strip()
+
+
+def whole(piece: Piece, seed: int, command: str, before: dict[str, Any] | None = None) -> dict[str, Any]:
+    """The record of a piece, laid over an earlier one: a duty's points at an x and a source replace those.
+
+    Troubles are replaced by those of the same kind and source.
+    """
+    now = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+    run = {"revision": revision(), "at": now, "command": command, "seed": seed}
+    before = before or {"duties": {}, "troubles": [], "left_out": [], "calls": [], "runs": []}
+    duties: dict[str, list[dict[str, Any]]] = {n: d["points"] for n, d in before["duties"].items()}
+    for duty, rows in piece.points.items():
+        fresh = {(r["x"], r["source"]) for r in rows}
+        duties[duty] = [r for r in duties.get(duty, []) if (r["x"], r["source"]) not in fresh] + rows
+    again = {(t["kind"], t["source"]) for t in piece.troubles}
+    measured = {(d, r["x"]) for d, rows in piece.points.items() for r in rows}
+    measured |= {(r["duty"], r["x"]) for r in piece.left_out}
+    return {
+        "schema": SCHEMA,
+        **run,
+        "cores": os.cpu_count(),
+        "duties": {name: _duty(name, rows) for name, rows in sorted(duties.items())},
+        "troubles": [t for t in before["troubles"] if (t["kind"], t["source"]) not in again] + piece.troubles,
+        "left_out": [r for r in before["left_out"] if (r["duty"], r["x"]) not in measured] + piece.left_out,
+        "calls": [r for r in before["calls"] if (r["duty"], r["x"]) not in measured] + piece.calls,
+        "runs": [*before["runs"], run],
+    }
+
+
+def _duty(name: str, points: list[dict[str, Any]]) -> dict[str, Any]:
+    points = sorted(points, key=lambda p: (p["source"], p["x"], p["process"]))
+    agreement = _agreement(points)
+    found: dict[str, Any] = {"about": ABOUT.get(name, name), "unit": UNITS.get(name, "member")}
+    found["points"] = points
+    found["fits"] = {}
+    found["fits_by_source"] = {}
+    for measure in sorted({key for p in points for key in p["measure"]}):
+        by_source = {}
+        for source in ("hollow", "real", "simulated"):
+            rows = [p for p in points if p["source"] == source and measure in p["measure"]]
+            if len(rows) >= FIT_POINTS and len({p["x"] for p in rows}) > 1:
+                fitted = line([p["x"] for p in rows], [p["measure"][measure] for p in rows])
+                by_source[source] = {**fitted, "source": source}
+        if not by_source:
+            continue
+        found["fits_by_source"][measure] = by_source
+        agree = all(row["agree"] for row in agreement if row["measure"] == measure)
+        order = ("hollow", "real", "simulated") if agree else ("real", "hollow", "simulated")
+        found["fits"][measure] = next(by_source[source] for source in order if source in by_source)
+    found["agreement"] = agreement
+    return found
+
+
+def _agreement(points: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Hollow and real at each x where both were measured: they agree where their intervals overlap."""
+    found = []
+    for x in sorted({p["x"] for p in points}):
+        for measure in sorted({key for p in points for key in p["measure"]}):
+            sides = []
+            for source in ("hollow", "real"):
+                rows = [p for p in points if (p["x"], p["source"]) == (x, source) and measure in p["measure"]]
+                sides.append([p["measure"][measure] for p in rows])
+            if min(map(len, sides)) < 2:
+                continue
+            hollow, real = (mean(side) for side in sides)
+            agree = hollow[1] <= real[2] and real[1] <= hollow[2]
+            row = {"x": x, "measure": measure, "hollow": hollow, "real": real, "agree": agree}
+            found.append({**row, "processes": [len(side) for side in sides]})
+    return found
+
+
+def read(path: Path) -> dict[str, Any]:
+    """A record from a file; ScaleError with one line for what is none."""
+    try:
+        record = json.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ScaleError(f"{path}: {error}") from None
+    if not isinstance(record, dict) or record.get("schema") != SCHEMA or "duties" not in record:
+        raise ScaleError(f"{path}: no record of a scale run, schema {SCHEMA}")
+    return record
+
+
+def write(path: Path, record: dict[str, Any]) -> None:
+    """As JSON, a point a line: a later record's changes can be read."""
+    text = json.dumps(record, indent=1, sort_keys=True)
+    path.write_text(text + "\n", encoding="utf-8")
--- /dev/null
+++ b/fawngw/lab/scale/simulated.py
@@ -0,0 +1,108 @@
+"""The same in simulated time, where real time or this machine does not suffice: messages and bytes only."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from fawngw.lab.scale.places import places
+from fawngw.lab.scale.slopes import Piece
+from fawngw.lab.scale.target import Topology
+from fawngw.lab.swim import Swarm, Weather
+
+WARM_MS = 5_000.0
+STEP_MS = 1_000.0
+SETTLE_STEPS = 300
+CALM_STEPS = 3
+
+
+def quiet(piece: Piece, size: int, seconds: float, seed: int) -> None:
+    """A quiet cluster of x members: a point of the duty membership."""
+    swarm = Swarm(seed, Weather())
+    swarm.keep_history = False
+    swarm.warm(size)
+    swarm.run(WARM_MS)
+    before = _sent(swarm)
+    swarm.run(seconds * 1000.0)
+    after = _sent(swarm)
+    messages, sent = ((b - a) / seconds / size for a, b in zip(before, after, strict=True))
+    measure = {"bytes_per_s": sent, "messages_per_s": messages}
+    piece.point("membership", size, "simulated", f"seed {seed}", seconds, measure)
+
+
+def _sent(swarm: Swarm) -> tuple[float, float]:
+    counts = [p.core.counts for p in swarm.processes.values()]
+    return float(sum(c["datagrams_out"] for c in counts)), float(sum(c["bytes_out"] for c in counts))
+
+
+def region_cut(topology: Topology, size: int, for_s: float, seed: int) -> dict[str, Any]:
+    """The regions cut off from each other for so long, and joined; looked at once a second."""
+    swarm = Swarm(seed, Weather())
+    swarm.keep_history = False
+    spots = places(topology, size)
+    rng = Random(f"cut {seed}")
+    for place in spots:
+        swarm.start(place.name, zone=f"z{place.zone}")
+    swarm.acquaint()
+    region = {place.name: place.region for place in spots}
+    sizes = {r: list(region.values()).count(r) for r in set(region.values())}
+    begins = WARM_MS + 5_000.0 * rng.random()
+    swarm.run(begins)
+    series: list[tuple[float, float]] = []
+    first = _sent(swarm)
+    last = first
+
+    def step() -> bool:
+        """A second on; whether all hold the same."""
+        nonlocal last
+        swarm.run(STEP_MS)
+        now = _sent(swarm)
+        series.append(((swarm.engine.now - begins) / 1000.0, (now[1] - last[1]) / size * 1000.0 / STEP_MS))
+        last = now
+        return len({p.core.view.digest for p in swarm.processes.values()}) == 1
+
+    def apart() -> bool:
+        """Whether each region holds just its own members alive."""
+        return all(p.core.view.alive == sizes[region[p.name]] for p in swarm.processes.values())
+
+    swarm.may_pass = lambda a, b: region[a] == region[b]
+    known: float | None = None
+    for _ in range(int(for_s)):
+        step()
+        if known is None and apart():
+            known = (swarm.engine.now - begins) / 1000.0
+    swarm.may_pass = lambda a, b: True
+    joined = swarm.engine.now
+    calm, whole = 0, None
+    for _ in range(SETTLE_STEPS):
+        calm = calm + 1 if step() and all(p.core.view.alive == size for p in swarm.processes.values()) else 0
+        if calm == 1:
+            whole = (swarm.engine.now - joined) / 1000.0
+        if calm == CALM_STEPS:
+            break
+    quiet_bytes = first[1] / begins * 1000.0
+    spent = (swarm.engine.now - begins) / 1000.0
+    return {
+        "kind": "region_cut",
+        "members": size,
+        "victims": 0,
+        "source": "simulated",
+        "seconds": for_s,
+        "messages": round(last[0] - first[0] - first[0] / begins * 1000.0 * spent),
+        "bytes_per_member": round((last[1] - first[1] - quiet_bytes * spent) / size, 1),
+        "quiet_bytes_per_s": round(quiet_bytes / size, 1),
+        "most_bytes_per_s": round(max(rate for _, rate in series), 1),
+        "settled_s": whole if calm == CALM_STEPS else None,
+        "settled_within_s": known,
+        "settled_after_s": whole if calm == CALM_STEPS else None,
+        "lost": "each region held the other dead for as long as it was cut off, and a while after",
+        "speed": 1.0,
+        "series": _thinned(series),
+    }
+
+
+def _thinned(series: list[tuple[float, float]], most: int = 400) -> list[list[float]]:
+    """At the most so many points, each the mean of a stretch."""
+    width = -(-len(series) // most)
+    parts = [series[i : i + width] for i in range(0, len(series), width)]
+    return [[round(p[-1][0], 1), round(sum(v for _, v in p) / len(p), 1)] for p in parts]
