--- a/fawngw/cli/scale.py
+++ b/fawngw/cli/scale.py
@@ -98,12 +98,10 @@
         fits.add_row(*row)
     out.print(fits)
     for name, duty in record["duties"].items():
-        for row in duty["agreement"]:
-            if not row["agree"]:
-                hollow, real = row["hollow"][0], row["real"][0]
-                out.print(
-                    f"{name} {row['x']:g}: {row['measure']} differs, hollow {hollow:.4g}, real {real:.4g}"
-                )
+        for both in duty["agreement"]:
+            if not both["agree"]:
+                sides = f"hollow {both['hollow'][0]:.4g}, real {both['real'][0]:.4g}"
+                out.print(f"{name} {both['x']:g}: {both['measure']} differs, {sides}")
     if record["troubles"]:
         heads = ("trouble", "members", "hit", "datagrams", "bytes a member", "most B/s", "one view after s")
         found = Table(*heads, "and after its end", "source", box=None)
--- a/fawngw/lab/scale/page.py
+++ b/fawngw/lab/scale/page.py
@@ -99,7 +99,8 @@
     text = environment.from_string(PAGE.replace("Broken rules", "Left out")).render(
         title="crowpost lab scale",
         about=f"Revision {record['revision']}, {record['at']}, {record['cores']} cores, "
-        f"seed {record['seed']}. Figures are of one node, beyond the same process with the duty off; intervals are 95%.",
+        f"seed {record['seed']}. Figures are of one node, beyond the same process with the duty off; "
+        "intervals are 95%.",
         heads=("duty", "measure", "at x = 0", "slope", "for each", "from", "form"),
         table=table(record),
         plots=[(name, about, Markup(svg)) for name, about, svg in plots],  # noqa: S704 - drawn here
