--- a/fawngw/lab/scale/page.py
+++ b/fawngw/lab/scale/page.py
@@ -64,7 +64,7 @@
 
 def table(record: dict[str, Any]) -> list[tuple[str, ...]]:
     """A row for each duty and measure: what was fitted."""
-    rows = []
+    rows: list[tuple[str, ...]] = []
     for name, duty in record["duties"].items():
         for measure, fitted in duty["fits"].items():
             form = "linear" if fitted["linear"] else f"not linear ({fitted['form']})"
