--- a/fawngw/lab/scale/slopes.py
+++ b/fawngw/lab/scale/slopes.py
@@ -26,17 +26,20 @@
 CONTACTS = 3
 LATE_MS = 50.0  # a hundredth of the looks at a worker's loop may be later; beyond, its members are starved
 SLOW_PART = 0.01  # of a worker's members that may hold themselves slow, or have had a late timer
+FRESH = 1.5  # times the bytes of members that have long been there: a real one that still passes on its news
 VIEW_BYTES = 1_100  # of one member in the view of another, for the estimate before the start
 WORKER_BYTES = 40e6
 ABOUT = {
     "idle": "A node with nothing on: no calls, no duty",
     "membership": "A member of a quiet cluster of x, beside the same process without",
+    "joined": "A real member in the first minute after it joined a cluster of x: all that it learnt is news",
     "changes": "A member of a cluster in which x others a second leave in order and are back",
     "restart": "What one that is restarted costs itself, beside a member that is not",
 }
 UNITS = {
     "idle": "process",
     "membership": "member",
+    "joined": "member",
     "changes": "restart per second",
     "restart": "restart per second",
 }
@@ -249,9 +252,12 @@
         await asyncio.sleep(run.settle_s)
         spans, rates = await _span(setting, fleet, real, [*members, *without])
         _hollow_points(piece, duty, size, spans, idle)
+        quiet = [p["measure"]["bytes_per_s"] for p in piece.points.get(duty, []) if p["source"] == "hollow"]
         for i in range(run.carriers):
             measure = less(rates[i], rates[run.carriers + i])
-            piece.point(duty, size, "real", members[i].name, run.seconds, measure)
+            # What a joiner has learnt is news to it: it passes all on, for minutes in a large cluster.
+            fresh = not quiet or measure["bytes_per_s"] > FRESH * fmean(quiet)
+            piece.point("joined" if fresh else duty, size, "real", members[i].name, run.seconds, measure)
         for label, nodes in (("with", members), ("without", without)):
             for node in nodes:
                 row = {"duty": duty, "x": size, "node": node.name, "membership": label}
