--- a/fawngw/lab/scale/record.py
+++ b/fawngw/lab/scale/record.py
@@ -4,6 +4,7 @@
 
 import datetime
 import json
+import math
 import os
 import subprocess
 from pathlib import Path
@@ -77,13 +78,52 @@
         if not by_source:
             continue
         found["fits_by_source"][measure] = by_source
-        agree = all(row["agree"] for row in agreement if row["measure"] == measure)
-        order = ("hollow", "real", "simulated") if agree else ("real", "hollow", "simulated")
-        found["fits"][measure] = next(by_source[source] for source in order if source in by_source)
+        found["fits"][measure] = _chosen(by_source, points, agreement, measure)
     found["agreement"] = agreement
     return found
 
 
+def _chosen(
+    by_source: dict[str, dict[str, Any]],
+    points: list[dict[str, Any]],
+    agreement: list[dict[str, Any]],
+    measure: str,
+) -> dict[str, Any]:
+    """The fit that holds: of hollow ones where they agree with real ones, else of real ones.
+
+    Real ones that were measured over less than half of the hollow ones' range give the level and not the
+    slope: the hollow line is moved by the mean difference where both were measured.
+    """
+    off = [row for row in agreement if row["measure"] == measure and not row["agree"]]
+    hollow, real = by_source.get("hollow"), by_source.get("real")
+    if hollow is None or (
+        off
+        and real is not None
+        and _range(points, "real", measure) >= 0.5 * _range(points, "hollow", measure)
+    ):
+        return real or hollow or by_source["simulated"]
+    if not off:
+        return hollow
+    both = [row for row in agreement if row["measure"] == measure]
+    moved = [row["real"][0] - row["hollow"][0] for row in both]
+    wide = [math.hypot(row["real"][2] - row["real"][0], row["hollow"][2] - row["hollow"][0]) for row in both]
+    by, slack = sum(moved) / len(moved), max(wide)
+    middle, low, high = hollow["intercept"]
+    own = math.hypot(slack, high - middle)
+    at = ", ".join(f"{row['x']:g}" for row in both)
+    return {
+        **hollow,
+        "intercept": [middle + by, middle + by - own, middle + by + own],
+        "source": f"hollow, moved to real at {at}",
+        "moved_by": by,
+    }
+
+
+def _range(points: list[dict[str, Any]], source: str, measure: str) -> float:
+    xs = [p["x"] for p in points if p["source"] == source and measure in p["measure"]]
+    return max(xs) - min(xs) if xs else 0.0
+
+
 def _agreement(points: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """Hollow and real at each x where both were measured: they agree where their intervals overlap."""
     found = []
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -184,6 +184,18 @@
     assert agreeing["fits"]["core_ms_per_s"]["source"] == "hollow"
 
 
+def test_real_ones_at_one_size_give_the_level_and_hollow_ones_the_slope() -> None:
+    piece = _piece(1.0, 1.6)
+    rows = piece.points["membership"]
+    piece.points["membership"] = [p for p in rows if p["source"] == "hollow" or p["x"] == 50.0]
+    fitted = records.whole(piece, 1, "c")["duties"]["membership"]["fits"]
+    core = fitted["core_ms_per_s"]
+    assert core["source"] == "hollow, moved to real at 50" and core["moved_by"] == pytest.approx(0.6)
+    assert core["slope"][0] == pytest.approx(0.001) and core["intercept"][0] == pytest.approx(1.61)
+    assert core["intercept"][1] < 1.61 - 0.02 < 1.61 + 0.02 < core["intercept"][2]
+    assert fitted["messages_per_s"]["source"] == "hollow"
+
+
 def test_pieces_are_laid_over_each_other(tmp_path: Path) -> None:
     first = _piece(1.0, 1.0)
     first.left_out.append({"duty": "membership", "x": 400.0, "process": "w1", "why": "late"})
