--- a/fawngw/cli/scale.py
+++ b/fawngw/cli/scale.py
@@ -19,7 +19,7 @@
     file: Annotated[str, typer.Option("--target", help="a target file; default: the shipped one")] = "",
     short: Annotated[bool, typer.Option("--short", help="the small form: about five minutes")] = False,
     sizes: Annotated[str, typer.Option(help="members, with commas; default: of the file")] = "",
-    duties: Annotated[str, typer.Option(help="idle,membership,changes,simulated; `none`")] = "",
+    duties: Annotated[str, typer.Option(help="idle,membership,changes,configuration,simulated; `none`")] = "",
     troubles: Annotated[str, typer.Option(help="kinds, with commas; `none`; default: of the file")] = "",
     seed: Annotated[int | None, typer.Option(min=0)] = None,
     folder: Annotated[Path | None, typer.Option("--out", help="keep record.json and page.html here")] = None,
--- a/fawngw/lab/scale/fit.py
+++ b/fawngw/lab/scale/fit.py
@@ -84,7 +84,7 @@
             return 0.0
         ratio = ((left - pure) / (len(levels) - 2)) / (pure / free)
         return float(stats.f.sf(ratio, len(levels) - 2, free))
-    if len(xs) < 4:
+    if len(xs) < 4 or len(levels) < 3:
         return 1.0
     scaled = (xs - xs.mean()) / xs.std()
     curved = float(np.sum((ys - np.polyval(np.polyfit(scaled, ys, 2), scaled)) ** 2))
--- a/fawngw/lab/scale/fleet.py
+++ b/fawngw/lab/scale/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -125,9 +126,9 @@
         """The same command to all, and their answers in order."""
         return list(await asyncio.gather(*(w.ask(what, **told) for w in self.workers)))
 
-    async def open(self, duty: str) -> None:
-        """Switch a duty on in all nodes, as long after their start."""
-        found = await self.all("open", duty=duty, settings={})
+    async def open(self, duty: str, settings: Mapping[str, Any] | None = None) -> None:
+        """Switch a duty on in all nodes, as long after their start; settings: of the duty."""
+        found = await self.all("open", duty=duty, settings=dict(settings or {}))
         rows = [row[1] for part in found for row in part]
         self.addresses = {
             n: a for w, part in zip(self.workers, found, strict=True) for n, a in _told(w, part)
--- /dev/null
+++ b/fawngw/lab/scale/follow.py
@@ -0,0 +1,75 @@
+"""A hollow node that follows configuration: the real follower and carrier of `fawngw.feed`, and no node that
+would apply a document: what comes whole is in force at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from fawngw.feed.carrier import Carrier
+from fawngw.feed.config import FeedConfig
+from fawngw.feed.model import Document, Server
+from fawngw.lab.scale.hollow import Cut
+from fawngw.lab.scale.places import Place
+
+SCOPE = "all"
+
+
+class HollowFollower:
+    """One follower.  It listens nowhere, so it has no address."""
+
+    def __init__(self, place: Place, cut: Cut) -> None:
+        self._place = place
+        self._carrier: Carrier | None = None
+        self.address = ""
+
+    @property
+    def carrier(self) -> Carrier:
+        assert self._carrier is not None
+        return self._carrier
+
+    async def start(self, settings: Mapping[str, Any]) -> str:
+        """settings: `cluster`, `region`, and `upstreams`, each an address and a zone."""
+        upstreams = [Server(address, settings["region"], zone) for address, zone in settings["upstreams"]]
+        near = upstreams[self._place.zone % len(upstreams)].zone
+        config = FeedConfig(
+            settings["cluster"],
+            self._place.name,
+            region=settings["region"],
+            zone=near,
+            upstreams=tuple(upstreams),
+        )
+        self._carrier = Carrier(config, self._apply)
+        self._carrier.start()
+        return self.address
+
+    def _apply(self, document: Document) -> None:
+        self.carrier.applied(document.head, "")
+
+    def row(self) -> bytes:
+        """Followers need not know each other."""
+        return b""
+
+    def acquaint(self, rows: list[bytes]) -> None:
+        """They do not meet."""
+
+    def go(self) -> None:
+        """They run from their start."""
+
+    def counts(self) -> dict[str, float]:
+        counts = self.carrier.follower.counts
+        return {"bytes": counts["bytes_out"], "bytes_in": counts["bytes_in"], "documents": counts["bodies"]}
+
+    def look(self) -> str:
+        """Servers watched, and the version in force."""
+        follower = self.carrier.follower
+        held = follower.in_force(SCOPE)
+        return f"{len(follower.watched)} {0 if held is None else held.head.version}"
+
+    def awareness(self) -> int:
+        """A follower does not judge itself."""
+        return 0
+
+    async def end(self, in_order: bool) -> None:
+        await self.carrier.close()
--- a/fawngw/lab/scale/hollow.py
+++ b/fawngw/lab/scale/hollow.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 from fawngw.lab.scale.places import Place, zone_of
@@ -44,7 +44,9 @@
 
 
 class Duty(Protocol):
-    """One hollow node's part in a duty."""
+    """One hollow node's part in a duty.  address: that others are told; empty where it listens nowhere."""
+
+    address: str
 
     async def start(self, settings: Mapping[str, Any]) -> str:
         """Bind and begin; the address that others are told."""
@@ -59,11 +61,14 @@
         """Until then it stands still."""
 
     def counts(self) -> dict[str, float]:
-        """messages, bytes (sent), bytes_in, late (own timers) since its start; awareness now."""
+        """Since its start, what it has: messages, documents, bytes (sent), bytes_in, late (own timers)."""
 
     def look(self) -> str:
         """What it holds now: equal texts mean equal views."""
 
+    def awareness(self) -> int:
+        """How slow it holds itself to be; 0: as quick as it should be."""
+
     async def end(self, in_order: bool) -> None:
         """Close; in_order: with a good-bye, else as a killed process does."""
 
@@ -209,4 +214,14 @@
         self._incarnation = carrier.core.me_claim.incarnation
 
 
-DUTIES: dict[str, type[HollowMember]] = {"membership": HollowMember}
+def _member(place: Place, cut: Cut) -> Duty:
+    return HollowMember(place, cut)
+
+
+def _follower(place: Place, cut: Cut) -> Duty:
+    from fawngw.lab.scale.follow import HollowFollower  # only where it is on: it must not weigh on the others
+
+    return HollowFollower(place, cut)
+
+
+DUTIES: dict[str, Callable[[Place, Cut], Duty]] = {"membership": _member, "configuration": _follower}
--- a/fawngw/lab/scale/page.py
+++ b/fawngw/lab/scale/page.py
@@ -18,6 +18,7 @@
     "bytes_per_s": "bytes sent a second",
     "received_bytes_per_s": "bytes received a second",
     "messages_per_s": "datagrams sent a second",
+    "documents_per_s": "documents taken a second",
 }
 
 
--- a/fawngw/lab/scale/run.py
+++ b/fawngw/lab/scale/run.py
@@ -17,7 +17,13 @@
 from fawngw.lab.scale.slopes import Piece, Say, Setting
 from fawngw.lab.scale.target import KINDS, Run, ScaleError, Target
 
-PARTS = ("idle", "membership", "changes", "simulated")  # idle: with the duty, side by side on real processes
+PARTS = (
+    "idle",
+    "membership",
+    "changes",
+    "configuration",
+    "simulated",
+)  # idle: with the duty, side by side on real processes
 SIMULATED_CUT_MEMBERS = 56  # an hour of them is a minute of one core
 SHORT_CUT_S = 120.0
 
@@ -58,6 +64,8 @@
         found += [(f"membership, {size} members", _size(setting, size)) for size in run.sizes]
     if "changes" in duties:
         found.append((f"changes, {run.rate_members} members", _rates(setting)))
+    if "configuration" in duties:
+        found.append((f"configuration, {run.rate_members} nodes", _configuration(setting)))
     if "simulated" in duties:
         found.append(("simulated time", _simulated(setting, choice)))
     wanted = [t.kind for t in setting.target.troubles]
@@ -80,6 +88,15 @@
     return lambda: slopes.by_rate(setting)
 
 
+def _configuration(setting: Setting) -> Callable[[], Coroutine[Any, Any, Piece]]:
+    async def work() -> Piece:
+        from fawngw.lab.scale import configuration
+
+        return await configuration.by_rate(setting)
+
+    return work
+
+
 def _troubles(setting: Setting, kinds: list[str]) -> Callable[[], Coroutine[Any, Any, Piece]]:
     return lambda: troubles.play(setting, kinds)
 
--- a/fawngw/lab/scale/slopes.py
+++ b/fawngw/lab/scale/slopes.py
@@ -29,11 +29,20 @@
 FRESH = 1.5  # times the bytes of members that have long been there: a real one that still passes on its news
 VIEW_BYTES = 1_100  # of one member in the view of another, for the estimate before the start
 WORKER_BYTES = 40e6
+COUNTED = {
+    "bytes": "bytes_per_s",
+    "bytes_in": "received_bytes_per_s",
+    "messages": "messages_per_s",
+    "documents": "documents_per_s",
+}
 ABOUT = {
     "idle": "A node with nothing on: no calls, no duty",
     "membership": "A member of a quiet cluster of x, beside the same process without",
     "joined": "A real member in the first minute after it joined a cluster of x: all that it learnt is news",
     "changes": "A member of a cluster in which x others a second leave in order and are back",
+    "configuration": "A node that follows configuration, of which x documents of 2 kB a second are published",
+    "configuration_relay": "A relay of a quarter of the nodes, as x documents of 2 kB a second pass",
+    "configuration_publisher": "The publisher, as x documents of 2 kB a second are published",
     "restart": "What one that is restarted costs itself, beside a member that is not",
 }
 UNITS = {
@@ -42,6 +51,9 @@
     "joined": "member",
     "changes": "restart per second",
     "restart": "restart per second",
+    "configuration": "change per second",
+    "configuration_relay": "change per second",
+    "configuration_publisher": "change per second",
 }
 
 
@@ -144,16 +156,12 @@
     seconds, nodes = after.at - before.at, after.nodes
     core = (after.core_ms - before.core_ms) / seconds - idle_ms_per_s
 
-    def each(key: str) -> float:
-        return (after.counts.get(key, 0.0) - before.counts.get(key, 0.0)) / seconds / nodes
-
-    return {
-        "core_ms_per_s": core / nodes,
-        "memory_bytes": (after.memory - idle_memory) / nodes,
-        "bytes_per_s": each("bytes"),
-        "received_bytes_per_s": each("bytes_in"),
-        "messages_per_s": each("messages"),
+    counted = {
+        name: (after.counts[key] - before.counts.get(key, 0.0)) / seconds / nodes
+        for key, name in COUNTED.items()
+        if key in after.counts
     }
+    return {"core_ms_per_s": core / nodes, "memory_bytes": (after.memory - idle_memory) / nodes, **counted}
 
 
 def unfit(before: Reading, after: Reading) -> str:
@@ -206,7 +214,7 @@
     return list(zip(before, after, strict=True)), rates
 
 
-def _hollow_points(
+def hollow_points(
     piece: Piece,
     duty: str,
     x: float,
@@ -223,7 +231,7 @@
         piece.point(duty, x, "hollow", f"w{i}", after.at - before.at, measure)
 
 
-async def _idle(fleet: Fleet, seconds: float) -> list[tuple[Reading, Reading]]:
+async def idle_span(fleet: Fleet, seconds: float) -> list[tuple[Reading, Reading]]:
     before = await fleet.read()
     await asyncio.sleep(seconds)
     return list(zip(before, await fleet.read(), strict=True))
@@ -237,7 +245,7 @@
     run, piece = setting.run, Piece()
     rng = Random(f"slopes {setting.seed} {duty} {size}")
     async with cluster(setting, size - run.carriers, 2 * run.carriers) as (fleet, real):
-        idle = await _idle(fleet, min(IDLE_S, run.seconds / 2))
+        idle = await idle_span(fleet, min(IDLE_S, run.seconds / 2))
         for i, (start, ready) in enumerate(idle):
             core = (ready.core_ms - start.core_ms) / (ready.at - start.at) / len(fleet.workers[i].names)
             piece.point("idle", size, "hollow", f"w{i}", ready.at - start.at, {"core_ms_per_s": core})
@@ -251,7 +259,7 @@
             raise ScaleError(f"{duty}: {size} members do not hold one view after {ONE_VIEW_S:g} s")
         await asyncio.sleep(run.settle_s)
         spans, rates = await _span(setting, fleet, real, [*members, *without])
-        _hollow_points(piece, duty, size, spans, idle)
+        hollow_points(piece, duty, size, spans, idle)
         quiet = [p["measure"]["bytes_per_s"] for p in piece.points.get(duty, []) if p["source"] == "hollow"]
         for i in range(run.carriers):
             measure = less(rates[i], rates[run.carriers + i])
@@ -262,11 +270,11 @@
             for node in nodes:
                 row = {"duty": duty, "x": size, "node": node.name, "membership": label}
                 piece.calls.append({**row, **real.tallies[node.name].plain()})
-    _tell(setting, piece, duty, size)
+    tell(setting, piece, duty, size)
     return piece
 
 
-def _tell(setting: Setting, piece: Piece, duty: str, x: float) -> None:
+def tell(setting: Setting, piece: Piece, duty: str, x: float) -> None:
     for source in ("hollow", "real"):
         rows = [p["measure"] for p in piece.points.get(duty, []) if p["source"] == source and p["x"] == x]
         if rows:
@@ -298,7 +306,7 @@
             for node, rates in zip(real.nodes, bare, strict=True):
                 measure = {key: rates[key] for key in ("core_ms_per_s", "memory_bytes")}
                 piece.point("idle", step, "real", node.name, seconds, measure)
-        _tell(setting, piece, "idle", run.real)
+        tell(setting, piece, "idle", run.real)
         await real.end(list(real.nodes))
 
         first = (await real.add(spots[:1], []))[0]
@@ -316,12 +324,12 @@
             piece.point(duty, run.real, "real", node.name, run.seconds, less(rates, before))
         await real.end(list(real.nodes))
 
-        idle = await _idle(fleet, min(IDLE_S, run.seconds / 2))
+        idle = await idle_span(fleet, min(IDLE_S, run.seconds / 2))
         await fleet.open(duty)
         await asyncio.sleep(run.settle_s)
         spans, _ = await _span(setting, fleet, real, [])
-        _hollow_points(piece, duty, run.real, spans, idle)
-    _tell(setting, piece, duty, run.real)
+        hollow_points(piece, duty, run.real, spans, idle)
+    tell(setting, piece, duty, run.real)
     return piece
 
 
@@ -344,7 +352,7 @@
     size = run.rate_members
     rng = Random(f"changes {setting.seed}")
     async with cluster(setting, size - run.carriers, 2 * run.carriers) as (fleet, real):
-        idle = await _idle(fleet, min(IDLE_S, run.seconds / 2))
+        idle = await idle_span(fleet, min(IDLE_S, run.seconds / 2))
         spots = places(setting.target.topology, 2 * run.carriers, first=size, prefix="r")
         without = await real.add(spots[: run.carriers], None)
         await fleet.open("membership")
@@ -363,12 +371,12 @@
             finally:
                 over.set()
                 await restarts
-            _hollow_points(piece, "changes", rate, spans[:-1], idle[:-1])
+            hollow_points(piece, "changes", rate, spans[:-1], idle[:-1])
             for i in range(run.carriers):
                 measure = less(rates[i], rates[run.carriers + i])
                 piece.point("changes", rate, "real", members[i].name, run.seconds, measure)
             _restart_point(piece, rate, spans, idle)
-            _tell(setting, piece, "changes", rate)
+            tell(setting, piece, "changes", rate)
     for rows in piece.points.values():
         for row in rows:  # memory is held by size, and not by rate
             row["measure"].pop("memory_bytes", None)
--- a/fawngw/lab/scale/target.py
+++ b/fawngw/lab/scale/target.py
@@ -85,6 +85,7 @@
     sizes: tuple[int, ...]
     rates: tuple[float, ...]
     rate_members: int
+    config_rates: tuple[float, ...]
     seconds: float
     settle_s: float
     workers: int
@@ -214,6 +215,7 @@
         "sizes": lambda: _counts(table, "sizes", 2, MOST_MEMBERS),
         "rates": lambda: _numbers(table, "rates", 0.0, 1_000.0),
         "rate_members": lambda: _count(table, "rate_members", 4, MOST_MEMBERS),
+        "config_rates": lambda: _numbers(table, "config_rates", 0.0, 100.0),
         "seconds": lambda: table.number("seconds", -1.0, 1.0, 3_600.0),
         "settle_s": lambda: table.number("settle_s", -1.0, 0.0, 600.0),
         "workers": lambda: _count(table, "workers", 1, 64),
--- a/fawngw/lab/scale/worker.py
+++ b/fawngw/lab/scale/worker.py
@@ -16,7 +16,7 @@
 
 import uvloop
 
-from fawngw.lab.scale.hollow import DUTIES, Cut, HollowMember
+from fawngw.lab.scale.hollow import DUTIES, Cut, Duty
 from fawngw.lab.scale.places import Place
 
 LINE_BYTES = 1 << 26
@@ -31,8 +31,8 @@
     def __init__(self, regions: list[int]) -> None:
         self.cut = Cut(regions)
         self.places: dict[str, Place] = {}
-        self.running: dict[str, HollowMember] = {}
-        self.nodes: dict[str, HollowMember] = {}
+        self.running: dict[str, Duty] = {}
+        self.nodes: dict[str, Duty] = {}
         self.past: Counter[str] = Counter()  # counts of processes that have ended
         self.late: list[float] = []  # ms by which the loop was late, since the last question
         self.tasks: set[asyncio.Future[None]] = set()
