--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -16,6 +16,7 @@
 
 from fawngw.cli.feedsim import feed
 from fawngw.cli.overhead import overhead
+from fawngw.cli.scale import scale
 from fawngw.cli.terminal import console
 from fawngw.lab.runs import Folder, RunFolderError
 from fawngw.lab.scenario import Scenario, load, shipped
@@ -23,7 +24,7 @@
 app = typer.Typer(
     help="Scenarios of a whole platform: simulated, or on loopback sockets.", no_args_is_help=True
 )
-for command in (feed, overhead):
+for command in (feed, overhead, scale):
     app.command()(command)
 out = console()
 Which = Annotated[str, typer.Argument(help="a shipped scenario by name, or a TOML file", show_default=False)]
@@ -33,6 +34,8 @@
 DEFAULT_POLICIES = "module,random,round-robin,least-outstanding,p2c-peak-ewma,true-state"
 
 
+
+
 @app.command("list")
 def list_scenarios(as_json: AsJson = False) -> None:
     """The scenarios that come with the package."""
