--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -14,6 +14,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from fawngw.cli.capacity import capacity
 from fawngw.cli.terminal import console
 from fawngw.lab.runs import Folder, RunFolderError
 from fawngw.lab.scenario import Scenario, load, shipped
@@ -21,6 +22,7 @@
 app = typer.Typer(
     help="Scenarios of a whole platform: simulated, or on loopback sockets.", no_args_is_help=True
 )
+app.command()(capacity)
 out = console()
 Which = Annotated[str, typer.Argument(help="a shipped scenario by name, or a TOML file", show_default=False)]
 AsJson = Annotated[bool, typer.Option("--json", help="print JSON")]
--- /dev/null
+++ b/fawngw/lab/capacity/demand.py
@@ -0,0 +1,254 @@
+"""What control asks of one node at a given size of the fleet, duty by duty; what changes come to."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from importlib.util import find_spec
+
+from fawngw.lab.capacity.figures import Figure, Origin, total
+from fawngw.lab.capacity.records import FeedRun, RecordError, Records, at
+from fawngw.lab.scale.target import Target
+
+DAY_S = 86_400.0
+MEASURED = ("core_ms_per_s", "memory_bytes", "bytes_per_s", "messages_per_s")
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What a duty costs one process: of a core, bytes held, bytes and messages a second; None: unknown."""
+
+    duty: str
+    core: Figure | None = None
+    memory: Figure | None = None
+    bytes: Figure | None = None
+    messages: Figure | None = None
+
+    def parts(self) -> tuple[Figure | None, ...]:
+        """In the order of the page's columns."""
+        return self.messages, self.core, self.memory, self.bytes
+
+
+def summed(name: str, costs: Sequence[Cost]) -> tuple[Cost, bool]:
+    """All of them together, and whether nothing is left out for want of a measurement."""
+    core, a = total(c.core for c in costs)
+    memory, b = total(c.memory for c in costs)
+    moved, c = total(c.bytes for c in costs)
+    messages, d = total(c.messages for c in costs)
+    return Cost(name, core, memory, moved, messages), a and b and c and d
+
+
+class Demand:
+    """The target and the records, as figures."""
+
+    def __init__(self, target: Target, records: Records, built: Sequence[str] | None = None) -> None:
+        """built: the packages that stand for a mechanism; None: those that this tree has."""
+        self.target, self.records = target, records
+        known = ("members", "feed", "directory", "shared", "rollout", "collect")
+        found = [name for name in known if find_spec(f"fawngw.{name}") is not None]
+        self.built = frozenset(found if built is None else built)
+        self.used: set[str] = set()  # assumptions that a figure was made with
+
+    # -------------------------------------------------------- where numbers are from
+
+    def told(self, value: float, key: str, unit: str = "") -> Figure:
+        """A number of the target file."""
+        return Figure(value, value, value, unit, (Origin("target", key.replace("_", " "), "target.toml"),))
+
+    def assumed(self, name: str) -> Figure:
+        """An entry of assumed.toml; RecordError where there is none."""
+        figure = self.records.assumed.get(name)
+        if figure is None:
+            raise RecordError(f"assumed.toml: {name} is missing")
+        self.used.add(name)
+        return figure
+
+    def coded(self, value: float, name: str, unit: str = "") -> Figure:
+        """A constant of the program; name: module and constant."""
+        return Figure(value, value, value, unit, (Origin("code", name, "a constant of the program"),))
+
+    # -------------------------------------------------------- sizes
+
+    def servers(self, times: float = 1.0) -> Figure:
+        """Servers, each with its node, at a multiple of the target."""
+        return self.told(self.target.target.servers * times, "servers")
+
+    def calls(self) -> Figure:
+        """Calls a second of one node; they grow with the fleet, so that a node's stay as they are."""
+        return self.told(self.target.target.calls_per_s, "calls_per_s", "/s").over(self.servers())
+
+    def changes(self, times: float = 1.0) -> Figure:
+        """Changes of configuration a second; taken to grow with the fleet."""
+        return self.told(self.target.target.changes_per_day * times / DAY_S, "changes_per_day", "/s")
+
+    def restarts(self, times: float = 1.0) -> Figure:
+        """Processes that end and come back, a second, over the whole fleet."""
+        failures = self.target.target.failures
+        day = failures.machines_per_day + failures.replacements_per_day
+        return self.told(day * times / DAY_S, "machines and replacements a day", "/s")
+
+    def budget(self) -> Cost:
+        """Of one node, for control."""
+        budget = self.target.target.node_budget
+        return Cost(
+            "budget",
+            self.told(budget.core_percent, "core_percent", "%"),
+            self.told(budget.memory_mb * 1e6, "memory_mb", "B"),
+            self.told(budget.bytes_per_s, "bytes_per_s", "B/s"),
+        )
+
+    # -------------------------------------------------------- documents
+
+    def reach(self, times: float = 1.0) -> Figure:
+        """The part of all changes that one node takes in, by the assumed split over scopes."""
+        n, services = self.servers(times), self.told(self.target.target.services, "services")
+        regions = self.told(self.target.target.regions, "regions")
+        part = self.assumed("part_all").plus(self.assumed("part_region").over(regions))
+        return part.plus(self.assumed("part_service").over(services)).plus(self.assumed("part_node").over(n))
+
+    def told_bytes(self, body: str) -> Figure:
+        """What a node takes in for one change: the body once, its head from each relay that it watches."""
+        return self.assumed(body).plus(self.assumed("head_bytes").times(self.assumed("relays_watched")))
+
+    def documents(self, times: float = 1.0) -> Figure:
+        """Scopes that may hold a document: all, each region, service and node."""
+        t = self.target.target
+        count = 1.0 + t.regions + t.services + t.servers * times
+        return self.told(count, "regions, services and servers")
+
+    def held_each(self) -> Figure:
+        """Bytes of one scope's documents, where the one in force and those before it are kept."""
+        return self.assumed("documents_kept").times(self.assumed("document_bytes"))
+
+    def messages_per_change(self) -> Figure:
+        """What a follower sends and gets: a head and a standing with each relay; a fetch and the body."""
+        return self.assumed("relays_watched").plus(1.0).times(2.0)
+
+    def beats(self) -> Figure:
+        """Heartbeats a second on one watch."""
+        return self.assumed("beat_s").inverse("/s")
+
+    def feed_runs(self, least_nodes: int | None = None) -> list[FeedRun]:
+        """Runs of the feed at the target's size, or at another."""
+        nodes = self.target.target.servers if least_nodes is None else least_nodes
+        return [r for r in (self.records.feed.runs if self.records.feed else ()) if r.nodes == nodes]
+
+    def feed(self, case: str, what: str, unit: str, nodes: int | None = None) -> Figure | None:
+        """A measure of the feed's runs of one case: the mean, the least and the most of the seeds."""
+        runs = [r for r in self.feed_runs(nodes) if r.case == case]
+        if what in ("p50", "p99", "worst"):
+            found = [r.in_force_s.get(what) for r in runs]
+        else:
+            found = [getattr(r, what) for r in runs]
+        values = [value for value in found if value is not None]
+        if not values or self.records.feed is None:
+            return None
+        feed = self.records.feed
+        sources = ", ".join(sorted({r.source for r in runs}))
+        about = (
+            f"feed.json, {case}: {sources}, {runs[0].nodes} nodes, {len(values)} runs (mean, least, most), "
+            f"revision {feed.revision[:12]} of {feed.at[:10]}"
+        )
+        origin = Origin("measured", f"feed, {case}, {what.replace('_', ' ')}", about)
+        return Figure(sum(values) / len(values), min(values), max(values), unit, (origin,))
+
+    # -------------------------------------------------------- the duties of a node
+
+    def node(self, times: float = 1.0) -> list[Cost]:
+        """Each duty of one node at a multiple of the target's size."""
+        return [
+            self._idle(times),
+            self._membership(times),
+            self._configuration(times),
+            self._lists(times),
+            self._reports(),
+            self._logs(),
+            self._restart(times),
+        ]
+
+    def _slope(self, duty: str, times: float) -> Cost:
+        """A duty by the record of slopes, at so many members, or at the rate of changes or restarts."""
+        slopes = self.records.slopes
+        found = slopes.duties.get(duty) if slopes is not None else None
+        if slopes is None or found is None:
+            return Cost(duty)
+        if "change" in found.unit:
+            x = self.changes(times)
+        elif "restart" in found.unit:
+            x = self.restarts(times)
+        elif "member" in found.unit:
+            x = self.servers(times)
+        else:
+            raise RecordError(f"slopes.json, {duty}: no such unit: {found.unit!r}")
+        core, memory, moved, messages = (at(slopes, duty, measure, x.mid) for measure in MEASURED)
+        return Cost(duty, core, memory, moved, messages)
+
+    def _idle(self, times: float) -> Cost:
+        cost = self._slope("idle", times)
+        return cost if cost.memory is not None else replace(cost, memory=self.assumed("idle_memory"))
+
+    def _membership(self, times: float) -> Cost:
+        cost = self._slope("membership", times)
+        if cost.bytes is None:
+            cost = replace(cost, bytes=self.assumed("membership_bytes"))
+        return cost if cost.memory is not None else replace(cost, memory=self.assumed("membership_memory"))
+
+    def _configuration(self, times: float) -> Cost:
+        """By slopes; else by the feed's own runs; else what the documents, heads and heartbeats come to."""
+        cost = self._slope("configuration", times)
+        moved, core = cost.bytes, cost.core
+        if moved is None and times == 1.0:
+            moved = self.feed("calm", "node_bytes_per_s", "B/s")
+        if core is None and times == 1.0:
+            core = self.feed("calm", "node_core_percent", "%")
+        beats = self.beats().times(self.assumed("relays_watched"))
+        if moved is None:
+            changed = (
+                self.changes(times).times(self.reach(times)).times(self.told_bytes("document_bytes"), "B/s")
+            )
+            moved = changed.plus(beats.times(self.assumed("beat_bytes"), "B/s"))
+        memory = cost.memory
+        if memory is None:  # the documents of the node's own scopes, in force and the one before
+            memory = self.assumed("scopes_of_a_node").times(self.held_each(), "B")
+        messages = cost.messages
+        if messages is None:
+            taken = self.changes(times).times(self.reach(times))
+            messages = beats.plus(taken.times(self.messages_per_change(), "/s"))
+        return Cost("configuration", core, memory, moved, messages)
+
+    def seen(self, times: float = 1.0) -> Figure:
+        """Servers that one node is told of: those of the services that its own server calls, of mean size."""
+        callees = self.told(self.target.topology.callees_per_service, "callees_per_service")
+        return self.servers(times).times(callees).over(self.told(self.target.target.services, "services"))
+
+    def _lists(self, times: float) -> Cost:
+        """A server that ends and comes back is two changes of a list, for each node that is told of it."""
+        lines = self.assumed("list_line_s").inverse("/s")
+        part = self.seen(times).over(self.servers(times))
+        changed = self.restarts(times).times(self.assumed("list_changes_per_restart")).times(part)
+        moved = changed.times(self.assumed("list_entry_bytes"), "B/s")
+        held = self.seen(times).times(self.assumed("server_memory"), "B")
+        return Cost("list and watch", None, held, moved.plus(lines.to("B/s")), lines.plus(changed))
+
+    def _reports(self) -> Cost:
+        moved = self.calls().times(self.assumed("load_report_bytes"), "B/s")
+        return Cost("load reports", None, None, moved, None)
+
+    def _logs(self) -> Cost:
+        pages = self.assumed("figures_every_s").inverse("/s")
+        lines = self.assumed("log_lines_per_s")
+        moved = pages.times(self.assumed("figures_page_bytes"), "B/s")
+        moved = moved.plus(lines.times(self.assumed("log_line_bytes"), "B/s"))
+        return Cost("logs and figures", None, None, moved, pages.plus(lines))
+
+    def _restart(self, times: float) -> Cost:
+        """Its own start, and what the whole list and all its documents come to then, spread over the day."""
+        cost = self._slope("restart", times)
+        own = self.restarts(times).over(self.servers(times))
+        if cost.core is None:
+            cost = replace(cost, core=own.times(self.assumed("start_s")).times(100.0, "%"))
+        if cost.bytes is None:
+            whole = self.seen(times).times(self.assumed("list_entry_bytes"))
+            documents = self.assumed("scopes_of_a_node").times(self.assumed("document_bytes"))
+            cost = replace(cost, bytes=own.times(whole.plus(documents), "B/s"))
+        return cost
--- /dev/null
+++ b/fawngw/lab/capacity/tables.py
@@ -0,0 +1,301 @@
+"""The page's tables: rows of cells, of which the last says what the figures of the row are from."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
+
+from fawngw.lab.capacity import connections, machines, ranking, roles
+from fawngw.lab.capacity.demand import Cost, Demand, summed
+from fawngw.lab.capacity.figures import NOT_MEASURED, Figure, Origin
+from fawngw.lab.capacity.figures import text as shown
+
+TAGS = {"target": "T", "measured": "R", "assumed": "A", "code": "C"}
+Limits = Callable[[float], list[roles.Limit]]
+
+
+def _place(tag: str) -> tuple[int, int]:
+    """Where a tag stands among all."""
+    return "TRAC".index(tag[0]), int(tag[1:] or 0)
+
+
+class Book:
+    """What the page's figures are from, numbered in the order in which they come."""
+
+    def __init__(self) -> None:
+        self.tags: dict[Origin, str] = {}
+
+    def tag(self, origin: Origin) -> str:
+        """Its short name: T and C stand for the target file and the program as a whole."""
+        letter = TAGS[origin.kind]
+        if letter in "TC":
+            self.tags.setdefault(origin, letter)
+            return letter
+        if origin not in self.tags:
+            self.tags[origin] = f"{letter}{sum(t[0] == letter for t in self.tags.values()) + 1}"
+        return self.tags[origin]
+
+    def sources(self, *figures: Figure | None) -> str:
+        """The tags of some figures; three in a row and more are told by the first and the last."""
+        found = {self.tag(origin) for f in figures if f is not None for origin in f.origins}
+        runs: list[list[str]] = []
+        for tag in sorted(found, key=_place):
+            before = _place(runs[-1][-1]) if runs else None
+            if before is not None and tag[1:] and _place(tag) == (before[0], before[1] + 1):
+                runs[-1].append(tag)
+            else:
+                runs.append([tag])
+        return " ".join(f"{run[0]}-{run[-1]}" if len(run) > 2 else " ".join(run) for run in runs)
+
+    def row(self, *cells: Figure | str | None) -> list[str]:
+        """A row; None is what nobody measured."""
+        figures = [cell for cell in cells if isinstance(cell, Figure)]
+        texts = [cell if isinstance(cell, str) else shown(cell) for cell in cells]
+        return [*texts, self.sources(*figures)]
+
+    def inline(self, figure: Figure | None) -> str:
+        """A figure within prose, with its tags."""
+        return shown(figure) if figure is None else f"{figure.text()} ({self.sources(figure)})"
+
+    def entries(self) -> list[tuple[str, str, str]]:
+        """Tag, entry and where it is from, for the end of the page."""
+        found: dict[str, tuple[str, str]] = {}
+        for origin, tag in self.tags.items():
+            before = found.get(tag)
+            names = dict.fromkeys([*(before[0].split(", ") if before else ()), *origin.entry.split(", ")])
+            found[tag] = (", ".join(names), origin.about)
+        return [(tag, *found[tag]) for tag in sorted(found, key=_place)]
+
+
+@dataclass(frozen=True, slots=True)
+class Table:
+    """Heads and rows; the last column is what the row is from."""
+
+    heads: tuple[str, ...]
+    rows: list[list[str]]
+
+    def markdown(self) -> str:
+        """As the page holds it."""
+        lines = [[*self.heads, "from"], ["---"] * (len(self.heads) + 1), *self.rows]
+        return "\n".join("| " + " | ".join(cell.replace("|", "/") for cell in line) + " |" for line in lines)
+
+
+COST = ("messages", "core", "memory", "bytes")
+
+
+def lacking(costs: Sequence[Cost]) -> list[bool]:
+    """For each column of costs, whether a duty's part of it is not known."""
+    return [any(part is None for part in parts) for parts in zip(*(c.parts() for c in costs), strict=True)]
+
+
+def node(book: Book, demand: Demand, duties: Sequence[ranking.Duty]) -> Table:
+    """Each duty of a node, all of them, the budget and what is left."""
+    costs = demand.node()
+    status = {d.of_node: d.status for d in duties}
+    rows = [book.row(c.duty, *c.parts(), status.get(c.duty, ranking.EXISTS)) for c in costs]
+    all_of, _ = summed("all", costs)
+    budget = demand.budget()
+    rows.append(book.row("**all duties**", *all_of.parts(), ""))
+    rows.append(book.row("budget", "none", budget.core, budget.memory, budget.bytes, ""))
+    left = [
+        b.minus(c) if b is not None and c is not None else None
+        for b, c in zip(budget.parts(), all_of.parts(), strict=True)
+    ]
+    rows.append(book.row("**left**", "", *left[1:], ""))
+    for at, unknown in enumerate(lacking(costs), 1):
+        if unknown and rows[-3][at] != NOT_MEASURED:
+            rows[-3][at] = f"at least {rows[-3][at]}"
+            rows[-1][at] = f"at most {rows[-1][at]}" if rows[-1][at] else ""
+    return Table(("duty", *COST, "mechanism"), rows)
+
+
+def built(demand: Demand) -> list[machines.Machine]:
+    """The machines set aside, as they are placed."""
+    topology, t = demand.target.topology, demand.target.target
+    return machines.place(
+        topology.zones_per_region, t.machines.set_aside, int(demand.assumed("list_replicas").mid)
+    )
+
+
+def role(book: Book, demand: Demand, duties: Sequence[ranking.Duty]) -> Table:
+    """One process of each role beside the node."""
+    status = {d.name: d.status for d in duties}
+    rows = []
+    for make in roles.ROLES:
+        one = make(demand, built(demand), 1.0)
+        rows.append(book.row(one.name, one.state, *one.cost.parts(), status[one.mechanism]))
+    return Table(("role", "state held", *COST, "mechanism"), rows)
+
+
+def growth(book: Book, demand: Demand) -> Table:
+    """The nearest limit of each role at each size, and the first that is passed."""
+    placed = built(demand)
+    named: list[tuple[str, Limits]] = [("node", partial(roles.node_limits, demand))]
+    for make in roles.ROLES:
+        named.append((make(demand, placed, 1.0).name, partial(roles.limits_of, make, demand, placed)))
+    rows = []
+    for name, limits in named:
+        cells: list[Figure | str | None] = [name]
+        for times in roles.GROWTH:
+            near = roles.nearest(limits(times))
+            part = None if near.used is None else near.used.over(near.there).times(100.0, "%")
+            cells.append(part)
+        met = roles.first_met(limits)
+        last = roles.nearest(limits(roles.GROWTH[-1]))
+        if met is None:
+            cells.append(f"none; nearest is {last.what}")
+        else:
+            cells.append(f"{met[0]}, at {met[1] * demand.target.target.servers:,.0f}")
+        unknown = [limit.what for limit in limits(1.0) if limit.used is None]
+        cells.append(", ".join(unknown) or "nothing")
+        rows.append(book.row(*cells))
+    sizes = [f"at {times * demand.target.target.servers:,.0f}" for times in roles.GROWTH]
+    return Table(("role", *sizes, "first limit met", NOT_MEASURED), rows)
+
+
+def placed(book: Book, demand: Demand) -> Table:
+    """Where the machines set aside stand."""
+    rows = []
+    for m in built(demand):
+        place = f"region {chr(ord('A') + m.region)}, zone {m.zone + 1}"
+        rows.append(book.row(m.name, place, ", ".join(m.duties)))
+    return Table(("machine", "stands in", "carries"), rows)
+
+
+def outlast(demand: Demand) -> Table:
+    """What goes on with machines gone: every set of them, zone and region tried."""
+    placed = built(demand)
+    zones, regions = len({m.zone for m in placed}), len({m.region for m in placed})
+    rows = []
+    for one in machines.outlasts(placed):
+        ways = [f"{good} of {of}" for good, of in one.ways]
+        rows.append([one.what, *ways, f"{one.zones} of {zones}", f"{one.regions} of {regions}", "T A"])
+    heads = (
+        "goes on with",
+        *(f"{i + 1} gone" for i in range(len(rows[0]) - 4)),
+        "a zone gone",
+        "a region gone",
+    )
+    return Table(heads, rows)
+
+
+def ranked(book: Book, demand: Demand, duties: Sequence[ranking.Duty]) -> Table:
+    """All duties with need, what is carried, and their place among those that are open."""
+    order = [d.name for d in ranking.rank(duties)]
+    rows = []
+    for d in sorted(duties, key=lambda d: order.index(d.name) if d.name in order else len(order)):
+        place = str(order.index(d.name) + 1) if d.name in order else ""
+        asked = "the target" if d.asked else ""
+        carried = d.carried.times(100.0, "%")
+        rows.append(book.row(place, d.name, d.need, carried, d.open, d.status, asked, "; ".join(d.builds_on)))
+    return Table(("place", "duty", "need", "carried", "open", "mechanism", "asked by", "builds on"), rows)
+
+
+# ------------------------------------------------------------ calls
+
+
+def overhead(book: Book, demand: Demand) -> Table:
+    """What a node adds to a call, for one hop and for a chain, and what calls cost it in processor time."""
+    record, t = demand.records.overhead, demand.target.target
+    depth = demand.told(t.depth, "depth")
+    rows = []
+    for run in record.runs if record is not None else ():
+        if record is None or run.version != "now":
+            continue
+        about = (
+            f"overhead.json: {run.rate:g} calls a second, {run.requests:,} requests, {run.servers} servers, "
+            f"{run.loop} loop, revision {record.revision[:12]} of {record.at[:10]}"
+        )
+        origin = Origin("measured", f"overhead, chain of {run.chain}, {run.loop}, {run.rate:g}/s", about)
+
+        def told(value: float | None, unit: str, of: Origin = origin) -> Figure | None:
+            return None if value is None else Figure(value, value, value, unit, (of,))
+
+        core = told(run.core_us_per_request, "us")
+        used = None if core is None else demand.calls().times(core).times(1e-4, "%")
+        p50, p99 = told(run.added.get("p50_ms"), "ms"), told(run.added.get("p99_ms"), "ms")
+        nodes = f"{run.chain} node{'s' if run.chain > 1 else ''} in a row"
+        name = f"{nodes}, {run.rate:g} calls a second, {run.loop}"
+        rows.append(book.row(name, p50, p99, core, used))
+        if run.chain == 1 and not any(r.chain == t.depth for r in record.runs):
+            deep = [None if p is None else p.times(depth, "ms") for p in (p50, p99)]
+            rows.append(
+                book.row(
+                    "... times the depth, no run: the median at the least, and at the most", *deep, "", ""
+                )
+            )
+    if not rows:
+        rows.append(book.row("a node, and a chain", None, None, None, None))
+    rows.append(book.row("asked, of one call", "", demand.told(t.added_p99_ms, "added_p99_ms", "ms"), "", ""))
+    return Table(("through", "added, median", "added, 99%", "core a call", "core at a node's calls"), rows)
+
+
+def wiring(book: Book, demand: Demand) -> Table:
+    """Connections over the platform, of a node and of the server with most, by size and by homes."""
+    t, topology = demand.target.target, demand.target.topology
+    rows = []
+    for times in roles.GROWTH:
+        n = int(t.servers * times)
+        args = (n, t.services, topology.service_skew, topology.callees_per_service, demand.target.run.seed)
+        plain, zoned = connections.wire(*args), connections.wire(*args, zones=t.zones)
+        rule = demand.coded(1.0, "fawngw.decide.fleet")
+        for name, total, most in (
+            ("every server", plain.total(False), plain.most_of_a_server(False)),
+            ("homes", plain.total(True), plain.most_of_a_server(True)),
+            ("homes, crossing zones has a price", zoned.total(True), zoned.most_of_a_server(True)),
+        ):
+            whole = demand.told(total, "servers, services, service skew, callees per service").times(rule)
+            each = whole.over(demand.servers(times))
+            held = each.times(demand.assumed("connection_memory"), "B")
+            rows.append(
+                book.row(f"{n:,}, {name}", whole, each, demand.told(most, "servers").times(rule), held)
+            )
+    return Table(
+        ("servers, a node keeps to", "connections", "of a node, mean", "of a server, most", "memory, a node"),
+        rows,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Floor:
+    """Where calling every server ends to be affordable."""
+
+    even: Figure  # servers of a service
+    least: Figure
+    largest: Figure  # the largest service at the target
+    closed: Figure  # the part of its calls that find no open connection
+    homes: Figure  # the same with homes
+    calls: Figure  # to one service, of one node
+
+
+def floor(demand: Demand) -> Floor:
+    """By the time that a node keeps a connection, and the least share that the module leaves a server."""
+    t, topology = demand.target.target, demand.target.topology
+    idle = demand.coded(connections.IDLE_S, "fawngw.node.servers.IDLE_PART", "s")
+    calls = demand.calls().over(demand.told(topology.callees_per_service, "callees_per_service"), "/s")
+    affordable = demand.assumed("handshakes_affordable")
+    even, least = connections.floor_ends(calls.mid, affordable.mid)
+    of = connections.sizes(t.servers, t.services, topology.service_skew)
+    behind = (
+        calls.times(idle).times(affordable).origins
+        + demand.coded(1.0, "fawngw.decide.automaton.FLOOR_SHARE").origins
+    )
+    home = connections.home(of[0], of[0])
+
+    def made(value: float, unit: str = "") -> Figure:
+        return Figure(value, value, value, unit, behind)
+
+    return Floor(
+        made(even),
+        made(least),
+        demand.told(of[0], "servers, services, service skew"),
+        made(100.0 * connections.closed_part(calls.mid, of[0]), "%"),
+        made(100.0 * connections.closed_part(calls.mid, home), "%"),
+        calls,
+    )
+
+
+def cost_of(costs: Sequence[Cost], duty: str) -> Cost:
+    """One duty of a node."""
+    return next(cost for cost in costs if cost.duty == duty)
