--- a/fawngw/lab/capacity/connections.py
+++ b/fawngw/lab/capacity/connections.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 
 from fawngw.decide.automaton import FLOOR_SHARE
 from fawngw.decide.fleet import Fleet
@@ -34,8 +35,8 @@
     while (left := servers - sum(found)) > 0:
         for i in order[:left]:
             found[i] += 1
-    for i in range(-left):  # the least ones were lifted to one: the largest give it
-        found[i % max(1, sum(n > 1 for n in found))] -= 1
+    for _ in range(-left):  # the least ones were lifted to one: the largest give it
+        found[found.index(max(found))] -= 1
     return found
 
 
@@ -85,6 +86,7 @@
         return max(m * h / n for m, h, n in zip(self.before, kept, self.of, strict=True))
 
 
+@lru_cache(maxsize=32)
 def wire(servers: int, services: int, skew: float, callees: int, seed: int, zones: int = 1) -> Wiring:
     """The platform's connections at a size."""
     of = sizes(servers, services, skew)
--- a/fawngw/lab/capacity/demand.py
+++ b/fawngw/lab/capacity/demand.py
@@ -63,6 +63,11 @@
         self.used.add(name)
         return figure
 
+    def unless(self, found: Figure | None, name: str) -> Figure:
+        """What was found, else the entry of assumed.toml that stands in for it; the entry counts as used."""
+        stand_in = self.assumed(name)
+        return stand_in if found is None else found
+
     def coded(self, value: float, name: str, unit: str = "") -> Figure:
         """A constant of the program; name: module and constant."""
         return Figure(value, value, value, unit, (Origin("code", name, "a constant of the program"),))
@@ -149,7 +154,7 @@
             f"feed.json, {case}: {sources}, {runs[0].nodes} nodes, {len(values)} runs (mean, least, most), "
             f"revision {feed.revision[:12]} of {feed.at[:10]}"
         )
-        origin = Origin("measured", f"feed, {case}, {what.replace('_', ' ')}", about)
+        origin = Origin("measured", f"feed, {case}", about)
         return Figure(sum(values) / len(values), min(values), max(values), unit, (origin,))
 
     # -------------------------------------------------------- the duties of a node
@@ -185,13 +190,12 @@
 
     def _idle(self, times: float) -> Cost:
         cost = self._slope("idle", times)
-        return cost if cost.memory is not None else replace(cost, memory=self.assumed("idle_memory"))
+        return replace(cost, memory=self.unless(cost.memory, "idle_memory"))
 
     def _membership(self, times: float) -> Cost:
         cost = self._slope("membership", times)
-        if cost.bytes is None:
-            cost = replace(cost, bytes=self.assumed("membership_bytes"))
-        return cost if cost.memory is not None else replace(cost, memory=self.assumed("membership_memory"))
+        moved = self.unless(cost.bytes, "membership_bytes")
+        return replace(cost, bytes=moved, memory=self.unless(cost.memory, "membership_memory"))
 
     def _configuration(self, times: float) -> Cost:
         """By slopes; else by the feed's own runs; else what the documents, heads and heartbeats come to."""
--- a/fawngw/lab/capacity/events.py
+++ b/fawngw/lab/capacity/events.py
@@ -142,8 +142,8 @@
         if played is not None:
             messages, settled = told(played.messages, ""), told(played.settled_s, "s")
             moved = told(played.bytes_per_member, "B")
-        elif kind == "machine":
-            settled = demand.assumed("death_known_p99_s")
+        if kind == "machine":
+            settled = demand.unless(settled, "death_known_p99_s")
         rows.append(book.row(name, _often(demand, kind), struck, messages, moved, settled, calls))
     heads = (
         "kind",
--- a/fawngw/lab/capacity/figures.py
+++ b/fawngw/lab/capacity/figures.py
@@ -93,7 +93,7 @@
 
 
 def _scale(unit: str, size: float) -> tuple[float, str]:
-    if unit not in _SCALES:
+    if unit not in _SCALES or math.isinf(size):
         return 1.0, unit
     step, names = _SCALES[unit]
     place = min(len(names) - 1, max(0, int(math.log(size, step) + 1e-9))) if size >= 1.0 else 0
--- a/fawngw/lab/capacity/page.py
+++ b/fawngw/lab/capacity/page.py
@@ -64,7 +64,7 @@
         "role": tables.role(book, demand, duties).markdown(),
         "growth": tables.growth(book, demand).markdown(),
         "placed": tables.placed(book, demand).markdown(),
-        "outlast": tables.outlast(demand).markdown(),
+        "outlast": tables.outlast(book, demand).markdown(),
         "ranked": tables.ranked(book, demand, duties).markdown(),
         "overhead": tables.overhead(book, demand).markdown(),
         "wiring": tables.wiring(book, demand).markdown(),
--- a/fawngw/lab/capacity/ranking.py
+++ b/fawngw/lab/capacity/ranking.py
@@ -103,6 +103,7 @@
             "fawngw/members: gossip among all",
             share(node["membership"], budget),
             _membership(demand, share(node["membership"], budget)),
+            asked=True,
             of_node="membership",
         ),
         Duty(
--- a/fawngw/lab/capacity/records.py
+++ b/fawngw/lab/capacity/records.py
@@ -182,7 +182,7 @@
             value = table.number("value", math.nan, -1e15, 1e15)
             unit, source = table.text("unit"), table.text("source", needed=True)
             bare = Figure(value, value, value, unit, (Origin("assumed", name, source),))
-            origin = Origin("assumed", name.replace("_", " "), f"assumed, {bare.text()}: {source}")
+            origin = Origin("assumed", f"{name.replace('_', ' ')} {bare.text()}", f"assumed: {source}")
             found[name] = Figure(value, value, value, unit, (origin,))
     except TableError as error:
         raise RecordError(f"{path}: {error}") from None
@@ -241,7 +241,7 @@
     if measure not in MEASURES or fit.form not in FORMS or not _fits(fit.form, xs, ys):
         return None
     mid, half = _predict(fit.form, xs, ys, x)
-    what, unit, factor = MEASURES[measure]
+    _, unit, factor = MEASURES[measure]
     seconds = sum(p.seconds for p in duty.points if p.source == fit.source)
     about = (
         f"slopes.json, {name}: {fit.source}, {fit.form}, {len(xs)} points from {min(xs):g} to {max(xs):g} "
@@ -259,7 +259,7 @@
             add = one.real[0] - hollow
         about += f"; real processes differ at {one.x:g}, and count"
     low, high = max(0.0, (mid - half) * times + add), max(0.0, (mid + half) * times + add)
-    origin = Origin("measured", f"{name}, {what}", about)
+    origin = Origin("measured", name, about)
     value = max(0.0, mid * times + add)
     return Figure(value * factor, low * factor, high * factor, unit, (origin,), beyond=x > max(xs) * 1.001)
 
--- a/fawngw/lab/capacity/roles.py
+++ b/fawngw/lab/capacity/roles.py
@@ -186,6 +186,8 @@
 
 def first_met(limits: Callable[[float], list[Limit]], most: float = GROWTH[-1]) -> tuple[str, float] | None:
     """The first limit passed as the size grows, and at which multiple; None: none up to the most."""
+    if all(limit.part <= 1.0 for limit in limits(most)):
+        return None  # what is used rises with the size
     for i in range(int((most - 1.0) / STEP + 1.5)):
         times = 1.0 + i * STEP
         passed = [limit for limit in limits(times) if limit.part > 1.0]
--- a/fawngw/lab/capacity/tables.py
+++ b/fawngw/lab/capacity/tables.py
@@ -59,13 +59,14 @@
         return shown(figure) if figure is None else f"{figure.text()} ({self.sources(figure)})"
 
     def entries(self) -> list[tuple[str, str, str]]:
-        """Tag, entry and where it is from, for the end of the page."""
-        found: dict[str, tuple[str, str]] = {}
-        for origin, tag in self.tags.items():
-            before = found.get(tag)
-            names = dict.fromkeys([*(before[0].split(", ") if before else ()), *origin.entry.split(", ")])
-            found[tag] = (", ".join(names), origin.about)
-        return [(tag, *found[tag]) for tag in sorted(found, key=_place)]
+        """Tags, entries and where they are from, for the end of the page; a row for each place of origin."""
+        found: dict[tuple[str, str], tuple[list[str], dict[str, None]]] = {}
+        for origin, tag in sorted(self.tags.items(), key=lambda item: _place(item[1])):
+            tags, names = found.setdefault((origin.kind, origin.about), ([], {}))
+            if tag not in tags:
+                tags.append(tag)
+            names.update(dict.fromkeys(origin.entry.split(", ")))
+        return [(" ".join(tags), ", ".join(names), about) for (_, about), (tags, names) in found.items()]
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,21 +157,36 @@
 
 def placed(book: Book, demand: Demand) -> Table:
     """Where the machines set aside stand."""
+    tags = _of_machines(book, demand)
     rows = []
     for m in built(demand):
         place = f"region {chr(ord('A') + m.region)}, zone {m.zone + 1}"
-        rows.append(book.row(m.name, place, ", ".join(m.duties)))
+        rows.append([m.name, place, ", ".join(m.duties), tags])
     return Table(("machine", "stands in", "carries"), rows)
 
 
-def outlast(demand: Demand) -> Table:
+def _of_machines(book: Book, demand: Demand) -> str:
+    t = demand.target.target
+    told = demand.told(t.machines.set_aside, "set aside"), demand.told(t.zones, "zones per region")
+    return book.sources(*told, demand.assumed("list_replicas"))
+
+
+def outlast(book: Book, demand: Demand) -> Table:
     """What goes on with machines gone: every set of them, zone and region tried."""
     placed = built(demand)
     zones, regions = len({m.zone for m in placed}), len({m.region for m in placed})
     rows = []
     for one in machines.outlasts(placed):
         ways = [f"{good} of {of}" for good, of in one.ways]
-        rows.append([one.what, *ways, f"{one.zones} of {zones}", f"{one.regions} of {regions}", "T A"])
+        rows.append(
+            [
+                one.what,
+                *ways,
+                f"{one.zones} of {zones}",
+                f"{one.regions} of {regions}",
+                _of_machines(book, demand),
+            ]
+        )
     heads = (
         "goes on with",
         *(f"{i + 1} gone" for i in range(len(rows[0]) - 4)),
