--- a/fawngw/lab/capacity/events.py
+++ b/fawngw/lab/capacity/events.py
@@ -152,7 +152,7 @@
         "messages set off",
         "bytes a member",
         "settled after",
-        "calls away from it",
+        "calls that went to it",
     )
     return Table(heads, rows)
 
--- a/fawngw/lab/capacity/page.py
+++ b/fawngw/lab/capacity/page.py
@@ -49,6 +49,7 @@
         "node_all": node_all,
         "least": ["at least " if unknown else "" for unknown in tables.lacking(demand.node())],
         "order": order,
+        "feeds": ranking.CONFIGURATION,
         "before": before,
         "calls": demand.calls(),
         "in_force": demand.told(target.target.in_force_s, "in_force_s", "s"),
--- a/fawngw/lab/capacity/tables.py
+++ b/fawngw/lab/capacity/tables.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from functools import partial
 
+from fawngw.decide.automaton import FLOOR_SHARE
 from fawngw.lab.capacity import connections, machines, ranking, roles
 from fawngw.lab.capacity.demand import Cost, Demand, summed
 from fawngw.lab.capacity.figures import NOT_MEASURED, Figure, Origin
@@ -282,6 +283,8 @@
     largest: Figure  # the largest service at the target
     closed: Figure  # the part of its calls that find no open connection
     homes: Figure  # the same with homes
+    homes_least: Figure  # and of the calls to a server that has the least share of its home
+    affordable: Figure  # the part that may
     calls: Figure  # to one service, of one node
 
 
@@ -308,6 +311,8 @@
         demand.told(of[0], "servers, services, service skew"),
         made(100.0 * connections.closed_part(calls.mid, of[0]), "%"),
         made(100.0 * connections.closed_part(calls.mid, home), "%"),
+        made(100.0 * connections.closed_part(FLOOR_SHARE * calls.mid, home), "%"),
+        affordable.times(100.0, "%"),
         calls,
     )
 
