--- a/fawngw/lab/capacity/records.py
+++ b/fawngw/lab/capacity/records.py
@@ -106,15 +106,16 @@
 class OverheadRun(Struct):
     """What a node adds to a call, in one run of `crowpost lab overhead`."""
 
-    rate: float
     chain: int
     requests: int
-    added: dict[str, float]
+    added: dict[str, float | None]
+    rate: float | None = None  # None in a closed loop
     version: str = "now"
     servers: int = 0
     loop: str = ""
-    machine_moves: dict[str, float] = field(default_factory=dict)
+    machine_moves: dict[str, float | None] = field(default_factory=dict)
     core_us_per_request: float | None = None
+    added_95: dict[str, tuple[float, float] | None] = field(default_factory=dict)  # low and high
 
 
 class Overhead(Struct):
--- a/fawngw/lab/capacity/tables.py
+++ b/fawngw/lab/capacity/tables.py
@@ -11,6 +11,7 @@
 from fawngw.lab.capacity.demand import Cost, Demand, summed
 from fawngw.lab.capacity.figures import NOT_MEASURED, Figure, Origin
 from fawngw.lab.capacity.figures import text as shown
+from fawngw.lab.capacity.records import OverheadRun
 
 TAGS = {"target": "T", "measured": "R", "assumed": "A", "code": "C"}
 Limits = Callable[[float], list[roles.Limit]]
@@ -212,36 +213,50 @@
 # ------------------------------------------------------------ calls
 
 
+def _runs(demand: Demand) -> list[OverheadRun]:
+    """Runs of the present version, in an open loop at the rate nearest to a node's own calls."""
+    record, calls = demand.records.overhead, demand.calls().mid
+    mine = [(run, run.rate) for run in (record.runs if record is not None else ()) if run.version == "now"]
+    apart = [(abs(rate - calls), run) for run, rate in mine if rate is not None]
+    nearest = min((off for off, _ in apart), default=0.0)
+    return [run for off, run in apart if off <= nearest]
+
+
+def _told(run: OverheadRun, demand: Demand) -> tuple[Figure | None, ...]:
+    """What a run says: added at the median and for 99%, core time of a call, and of a node's calls."""
+    record = demand.records.overhead
+    assert record is not None
+    about = (
+        f"overhead.json: {run.rate or 0.0:g} calls a second, {run.requests:,} requests, {run.servers} servers"
+        f", {run.loop} loop, revision {record.revision[:12]} of {record.at[:10]}"
+    )
+    origin = Origin("measured", f"overhead of a chain of {run.chain}", about)
+
+    def made(value: float | None, between: tuple[float, float] | None, unit: str) -> Figure | None:
+        if value is None:
+            return None
+        return Figure(value, *(between or (value, value)), unit, (origin,))
+
+    p50, p99 = (made(run.added.get(key), run.added_95.get(key), "ms") for key in ("p50_ms", "p99_ms"))
+    core = made(run.core_us_per_request, None, "us")
+    used = None if core is None else demand.calls().times(core).times(1e-4, "%")
+    return p50, p99, core, used
+
+
 def overhead(book: Book, demand: Demand) -> Table:
     """What a node adds to a call, for one hop and for a chain, and what calls cost it in processor time."""
-    record, t = demand.records.overhead, demand.target.target
+    t = demand.target.target
     depth = demand.told(t.depth, "depth")
+    runs = _runs(demand)
     rows = []
-    for run in record.runs if record is not None else ():
-        if record is None or run.version != "now":
-            continue
-        about = (
-            f"overhead.json: {run.rate:g} calls a second, {run.requests:,} requests, {run.servers} servers, "
-            f"{run.loop} loop, revision {record.revision[:12]} of {record.at[:10]}"
-        )
-        origin = Origin("measured", f"overhead, chain of {run.chain}, {run.loop}, {run.rate:g}/s", about)
-
-        def told(value: float | None, unit: str, of: Origin = origin) -> Figure | None:
-            return None if value is None else Figure(value, value, value, unit, (of,))
-
-        core = told(run.core_us_per_request, "us")
-        used = None if core is None else demand.calls().times(core).times(1e-4, "%")
-        p50, p99 = told(run.added.get("p50_ms"), "ms"), told(run.added.get("p99_ms"), "ms")
-        nodes = f"{run.chain} node{'s' if run.chain > 1 else ''} in a row"
-        name = f"{nodes}, {run.rate:g} calls a second, {run.loop}"
-        rows.append(book.row(name, p50, p99, core, used))
-        if run.chain == 1 and not any(r.chain == t.depth for r in record.runs):
-            deep = [None if p is None else p.times(depth, "ms") for p in (p50, p99)]
-            rows.append(
-                book.row(
-                    "... times the depth, no run: the median at the least, and at the most", *deep, "", ""
-                )
-            )
+    for run in runs:
+        told = _told(run, demand)
+        name = f"{run.chain} node{'s' if run.chain > 1 else ''} in a row, {run.servers} servers, {run.loop}"
+        rows.append(book.row(name, *told))
+    single = [run for run in runs if run.chain == 1]
+    if single and not any(run.chain == t.depth for run in runs):
+        deep = [None if p is None else p.times(depth, "ms") for p in _told(single[0], demand)[:2]]
+        rows.append(book.row("... times the depth, not run: at the least, and at the most", *deep, "", ""))
     if not rows:
         rows.append(book.row("a node, and a chain", None, None, None, None))
     rows.append(book.row("asked, of one call", "", demand.told(t.added_p99_ms, "added_p99_ms", "ms"), "", ""))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -635,7 +635,7 @@
     assert zone[1:6] == ["3 a year", "113", "12,345", "6.54 kB", "7.70 s"] and re.search(r"R\d", zone[-1])
     assert "a zone, as played: nothing at all" in text
     assert cells(text, "a machine")[3] == "not measured" and cells(text, "a machine")[5] == "8.30 s"
-    hop = cells(text, "1 node in a row, 41 calls a second, open")
+    hop = cells(text, "1 node in a row, 10 servers, open")
     assert hop[1:5] == ["0.250 ms", "0.750 ms", "300 us", "1.22%"]
     deep = next(line for line in text.splitlines() if line.startswith("| ... times the depth"))
     assert "| 6.25 ms | 18.8 ms |" in deep
@@ -649,7 +649,7 @@
     keep(docs, "overhead", record)
     text = page.render(load(), records.read(docs / "capacity"), NOTHING_BUILT)[0]
     assert "times the depth" not in text
-    assert cells(text, "25 nodes in a row, 41 calls a second, open")[1:3] == ["5 ms", "11 ms"]
+    assert cells(text, "25 nodes in a row, 10 servers, open")[1:3] == ["5 ms", "11 ms"]
 
 
 def test_a_larger_target_changes_the_page(docs: Path) -> None:
