--- a/fawngw/lab/capacity/events.py
+++ b/fawngw/lab/capacity/events.py
@@ -118,10 +118,11 @@
     found = [t for t in slopes.troubles if t.kind == kind] if slopes is not None else []
     if slopes is None or not found:
         return None, ()
-    one = max(found, key=lambda t: t.members)
+    one = max(found, key=lambda t: (t.members, t.seconds or 0.0))
+    lasted = "" if one.seconds is None else f", for {one.seconds:g} s"
     speed = "" if one.speed == 1.0 else f", time {one.speed:g} times as fast"
     about = (
-        f"slopes.json, trouble {kind}: {one.source}, {one.members} members{speed}, "
+        f"slopes.json, trouble {kind}: {one.source}, {one.members} members{lasted}{speed}, "
         f"revision {slopes.revision[:12]} of {slopes.at[:10]}"
     )
     return one, (Origin("measured", f"trouble, {kind}", about),)
