--- a/fawngw/lab/capacity/demand.py
+++ b/fawngw/lab/capacity/demand.py
@@ -7,7 +7,8 @@
 from importlib.util import find_spec
 
 from fawngw.lab.capacity.figures import Figure, Origin, total
-from fawngw.lab.capacity.records import FeedRun, RecordError, Records, at, rise
+from fawngw.lab.capacity.lines import at, rise
+from fawngw.lab.capacity.records import FeedRun, RecordError, Records
 from fawngw.lab.scale.target import Target
 
 DAY_S = 86_400.0
--- a/fawngw/lab/capacity/page.py
+++ b/fawngw/lab/capacity/page.py
@@ -9,7 +9,7 @@
 
 import jinja2
 
-from fawngw.lab.capacity import events, machines, ranking, records, roles, tables
+from fawngw.lab.capacity import backing, events, lines, machines, ranking, records, roles, tables
 from fawngw.lab.capacity.demand import Demand
 from fawngw.lab.capacity.records import Records
 from fawngw.lab.scale.target import Target
@@ -42,7 +42,7 @@
     single = [one.what for one in machines.outlasts(placed, 1) if one.any_gone < 1]
     context = {
         "b": book.inline,
-        "confidence": f"{100 * records.CONFIDENCE:g}%",
+        "confidence": f"{100 * lines.CONFIDENCE:g}%",
         "sources": book.entries,
         "t": {"servers": demand.servers()},
         "budget": demand.budget(),
@@ -112,8 +112,8 @@
     environment = jinja2.Environment(undefined=jinja2.StrictUndefined, keep_trailing_newline=True)
     context, demand = _context(target, read, built)
     text = environment.from_string(template()).render(context)
-    lines = [line.rstrip() for line in text.splitlines()]
-    kept = [line for i, line in enumerate(lines) if line or (i and lines[i - 1])]
+    rows = [row.rstrip() for row in text.splitlines()]
+    kept = [row for i, row in enumerate(rows) if row or (i and rows[i - 1])]
     return "\n".join(kept).rstrip("\n") + "\n", sorted(set(read.assumed) - demand.used)
 
 
@@ -121,7 +121,7 @@
     """One line for each place where this folder's page and records part, or no run is behind a figure."""
     read = records.read(docs / FOLDER)
     text, unused = render(target, read, built)
-    found = records.unbacked(read) + [f"assumed.toml: no figure uses {name}" for name in unused]
+    found = backing.unbacked(read) + [f"assumed.toml: no figure uses {name}" for name in unused]
     page = docs / PAGE
     try:
         told = page.read_text(encoding="utf-8")
@@ -151,7 +151,7 @@
     """Make the page; RecordError with one line where something has no run behind it."""
     read = records.read(docs / FOLDER)
     text, unused = render(target, read, built)
-    wrong = records.unbacked(read) + [f"assumed.toml: no figure uses {name}" for name in unused]
+    wrong = backing.unbacked(read) + [f"assumed.toml: no figure uses {name}" for name in unused]
     if wrong:
         raise records.RecordError(
             wrong[0] + (f" (and {len(wrong) - 1} more: --check)" if len(wrong) > 1 else "")
--- a/fawngw/lab/capacity/roles.py
+++ b/fawngw/lab/capacity/roles.py
@@ -7,9 +7,9 @@
 
 from fawngw.lab.capacity.demand import DAY_S, Cost, Demand, summed
 from fawngw.lab.capacity.figures import Figure
+from fawngw.lab.capacity.lines import at
 from fawngw.lab.capacity.machines import KEEPER, LIST, PUBLISHER, RELAY, Machine
 from fawngw.lab.capacity.ranking import CONFIGURATION, FIGURES, LISTS, MINUTE_S
-from fawngw.lab.capacity.records import at
 from fawngw.members.model import Tuning
 
 GROWTH = (1.0, 2.0, 5.0)  # the sizes that the page looks at, in parts of the target
--- a/fawngw/lab/capacity/tables.py
+++ b/fawngw/lab/capacity/tables.py
@@ -139,18 +139,16 @@
         named.append((make(demand, placed, 1.0).name, partial(roles.limits_of, make, demand, placed)))
     rows = []
     for name, limits in named:
+        at_sizes = [limits(times) for times in roles.GROWTH]
         cells: list[Figure | str | None] = [name]
-        for times in roles.GROWTH:
-            near = roles.nearest(limits(times))
-            part = None if near.used is None else near.used.over(near.there).times(100.0, "%")
-            cells.append(part)
+        for near in map(roles.nearest, at_sizes):
+            cells.append(None if near.used is None else near.used.over(near.there).times(100.0, "%"))
         met = roles.first_met(limits)
-        last = roles.nearest(limits(roles.GROWTH[-1]))
         if met is None:
-            cells.append(f"none; nearest is {last.what}")
+            cells.append(f"none; nearest is {roles.nearest(at_sizes[-1]).what}")
         else:
             cells.append(f"{met[0]}, at {met[1] * demand.target.target.servers:,.0f}")
-        unknown = [limit.what for limit in limits(1.0) if limit.used is None]
+        unknown = [limit.what for limit in at_sizes[0] if limit.used is None]
         cells.append(", ".join(unknown) or "nothing")
         rows.append(book.row(*cells))
     sizes = [f"at {times * demand.target.target.servers:,.0f}" for times in roles.GROWTH]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -20,7 +20,7 @@
 from fawngw.cli.main import main
 from fawngw.decide.fleet import Fleet
 from fawngw.interface import ListKind, ServerEntry, ServerList, Settings
-from fawngw.lab.capacity import connections, machines, page, ranking, records, roles, tables
+from fawngw.lab.capacity import backing, connections, lines, machines, page, ranking, records, roles, tables
 from fawngw.lab.capacity.demand import Demand
 from fawngw.lab.capacity.figures import Figure, Origin
 from fawngw.lab.scale.target import Target, load
@@ -244,9 +244,9 @@
     ],
 )
 def test_a_figure_without_a_run_behind_it_is_told_and_not_written(docs: Path, where: str, told: str) -> None:
-    assert records.unbacked(records.read(docs / "capacity")) == []
+    assert backing.unbacked(records.read(docs / "capacity")) == []
     keep(docs, "slopes", broken(slopes(), where))
-    assert any(told in line for line in records.unbacked(records.read(docs / "capacity")))
+    assert any(told in line for line in backing.unbacked(records.read(docs / "capacity")))
     with pytest.raises(
         records.RecordError, match=re.escape(told.split("behind")[0].split(" is not")[0][:20])
     ):
@@ -262,7 +262,7 @@
     nobody["runs"][1] |= {"revision": "abc", "at": "2026-01-02"}
     keep(docs, "overhead", none)
     keep(docs, "feed", nobody)
-    assert records.unbacked(records.read(docs / "capacity")) == [
+    assert backing.unbacked(records.read(docs / "capacity")) == [
         "overhead.json, run 0: no requests were made",
         "feed.json, run 0: names no revision or date",
         "feed.json, run 1: no source or no nodes",
@@ -353,19 +353,19 @@
 
 def test_a_cost_is_that_of_the_line_with_its_interval_and_a_star_beyond() -> None:
     read = read_slopes(slopes())
-    known = records.at(read, "membership", "bytes_per_s", 790.0)
+    known = lines.at(read, "membership", "bytes_per_s", 790.0)
     assert known is not None and known.mid == pytest.approx(400.0 + 0.5 * 790.0, rel=0.002)
     assert known.low < known.mid < known.high and not known.beyond
-    far = records.at(read, "membership", "bytes_per_s", 3950.0)
+    far = lines.at(read, "membership", "bytes_per_s", 3950.0)
     assert far is not None and far.beyond and far.high - far.low > known.high - known.low
-    core = records.at(read, "membership", "core_ms_per_s", 790.0)
+    core = lines.at(read, "membership", "core_ms_per_s", 790.0)
     assert core is not None and core.unit == "%" and core.mid == pytest.approx(0.279, rel=0.01)
     assert (
         "5 points from 50 to 1580 member in 100 s, revision 0123456789ab of 2026-01-02"
         in known.origins[0].about
     )
-    assert records.at(read, "no such duty", "bytes_per_s", 790.0) is None
-    assert records.at(read, "idle", "messages_per_s", 790.0) is None
+    assert lines.at(read, "no such duty", "bytes_per_s", 790.0) is None
+    assert lines.at(read, "idle", "messages_per_s", 790.0) is None
 
 
 def test_the_interval_is_students() -> None:
@@ -378,7 +378,7 @@
     ]
     fit = {"intercept": [-0.05, 0, 0], "slope": [1.04, 0, 0], "form": "linear", "source": "real"}
     record["duties"]["membership"] |= {"points": points, "fits": {"bytes_per_s": fit}}
-    found = records.at(read_slopes(record), "membership", "bytes_per_s", 2.5)
+    found = lines.at(read_slopes(record), "membership", "bytes_per_s", 2.5)
     rest = [y - (-0.05 + 1.04 * x) for x, y in enumerate(ys, 1)]
     half = 4.303 * math.sqrt(sum(r * r for r in rest) / 2) * math.sqrt(1 / 4)
     assert found is not None and found.mid == pytest.approx(2.55)
@@ -397,11 +397,11 @@
     line = {"intercept": [a, a, a], "slope": [b, b, b], "linear": False, "source": "hollow"}
     member["fits"]["bytes_per_s"] = line | {"form": form}
     read = read_slopes(record)
-    found = records.at(read, "membership", "bytes_per_s", 700.0)
+    found = lines.at(read, "membership", "bytes_per_s", 700.0)
     assert found is not None and found.mid == pytest.approx(y(700.0), rel=0.001)
-    assert records.unbacked(records.Records(read, None, None, {})) == []
+    assert backing.unbacked(records.Records(read, None, None, {})) == []
     member["fits"]["bytes_per_s"] = line | {"form": "other"}
-    other = records.at(read_slopes(record), "membership", "bytes_per_s", 700.0)
+    other = lines.at(read_slopes(record), "membership", "bytes_per_s", 700.0)
     assert (
         other is not None
         and other.mid == pytest.approx(a + 700.0 * b)
@@ -419,12 +419,12 @@
         for y in values
     ]
     record["duties"]["idle"] = idle
-    found = records.at(read_slopes(record), "idle", "core_ms_per_s", 790.0)
+    found = lines.at(read_slopes(record), "idle", "core_ms_per_s", 790.0)
     assert found is not None and found.mid == pytest.approx(0.5) and not found.beyond
     assert found.high - found.mid == pytest.approx(0.1 * 4.303 / math.sqrt(3), rel=1e-3)
     assert "real, mean, 3 points at 1 process" in found.origins[0].about
     idle["points"] = idle["points"][:1]
-    assert records.at(read_slopes(record), "idle", "core_ms_per_s", 790.0) is None
+    assert lines.at(read_slopes(record), "idle", "core_ms_per_s", 790.0) is None
 
 
 def test_events_cost_by_the_slope_alone_and_larger_clusters_are_starred() -> None:
@@ -434,17 +434,17 @@
         point["members"] = 200
     record["duties"]["changes"] = changes
     read = read_slopes(record)
-    small = records.rise(read, "changes", "bytes_per_s", 0.01, 200)
+    small = lines.rise(read, "changes", "bytes_per_s", 0.01, 200)
     assert small is not None and small.mid == pytest.approx(0.6, rel=0.01) and not small.beyond
     assert small.low < 0.6 < small.high and "200 members" in small.origins[0].about
-    large = records.rise(read, "changes", "bytes_per_s", 0.01, 790)
+    large = lines.rise(read, "changes", "bytes_per_s", 0.01, 790)
     assert large is not None and large.beyond
-    assert records.rise(read, "changes", "memory_bytes", 0.01, 790) is None
+    assert lines.rise(read, "changes", "memory_bytes", 0.01, 790) is None
 
 
 def test_where_real_processes_differ_they_count() -> None:
     record = slopes()
-    plain = records.at(read_slopes(record), "membership", "core_ms_per_s", 790.0)
+    plain = lines.at(read_slopes(record), "membership", "core_ms_per_s", 790.0)
     seen = {
         "x": 50,
         "measure": "core_ms_per_s",
@@ -453,14 +453,14 @@
         "agree": True,
     }
     record["duties"]["membership"]["agreement"] = [seen]
-    assert records.at(read_slopes(record), "membership", "core_ms_per_s", 790.0) == plain
+    assert lines.at(read_slopes(record), "membership", "core_ms_per_s", 790.0) == plain
     seen["agree"] = False
-    apart = records.at(read_slopes(record), "membership", "core_ms_per_s", 790.0)
+    apart = lines.at(read_slopes(record), "membership", "core_ms_per_s", 790.0)
     assert plain is not None and apart is not None
     assert apart.mid == pytest.approx(2.0 * plain.mid)  # the ratio is dearer here than the difference
     assert "real processes differ at 50, and count" in apart.origins[0].about
     seen["real"] = [1.0, 0.9, 1.1]
-    cheaper = records.at(read_slopes(record), "membership", "core_ms_per_s", 790.0)
+    cheaper = lines.at(read_slopes(record), "membership", "core_ms_per_s", 790.0)
     assert cheaper is not None and cheaper.mid == pytest.approx(plain.mid - 0.1)
 
 
