--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,274 @@
+"""The page of the size that is coming: what it says, of which records, and what it says when they part."""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fawngw.cli.main import main
+from fawngw.lab.capacity import backing, page, records
+from fawngw.lab.scale.target import load
+from tests.capacity_records import (
+    DOCS,
+    NOTHING_BUILT,
+    SIZES,
+    duty,
+    feed,
+    keep,
+    lay_out,
+    overhead,
+    slopes,
+    with_,
+)
+
+
+@pytest.fixture
+def docs(tmp_path: Path) -> Path:
+    return lay_out(tmp_path)
+
+
+def command(monkeypatch: pytest.MonkeyPatch, *arguments: str) -> int:
+    monkeypatch.setattr(sys, "argv", ["crowpost", "lab", "capacity", *arguments])
+    with pytest.raises(SystemExit) as ended:
+        main()
+    return int(ended.value.code or 0)
+
+
+# ------------------------------------------------------------ what is committed
+
+
+def test_the_committed_page_is_what_the_committed_records_give() -> None:
+    assert page.check(DOCS, load()) == []
+
+
+def test_the_page_is_short_enough_to_be_read() -> None:
+    text = (DOCS / page.PAGE).read_text()
+    assert len(text.splitlines()) <= 250
+
+
+def test_the_template_holds_no_number() -> None:
+    prose = re.sub(r"\{\{.*?\}\}|\{%.*?%\}|\{#.*?#\}", "", page.template(), flags=re.DOTALL)
+    assert [line for line in prose.splitlines() if re.search(r"\d", line)] == []
+
+
+def sources_hold(text: str) -> None:
+    """Each row of a table with a number in it names an entry, and each that is named is listed."""
+    body, listed = text.split("## Sources")
+    known = {
+        t
+        for tags in re.findall(r"^\| ([TRAC][TRAC\d ]*) \|", listed, flags=re.MULTILINE)
+        for t in tags.split()
+    }
+    rows = [line.strip("| ").split(" | ") for line in body.splitlines() if line.startswith("|")]
+    tagged, tag = 0, r"[TRAC]\d*(?:-[TRAC]\d+)?"
+    for row in rows:
+        if row[-1] == "from" or set(row) == {"---"}:
+            continue
+        if any(re.search(r"(?<![A-Za-z])\d", re.sub(r"issue \d+|\([^()]*\)", "", cell)) for cell in row[:-1]):
+            assert re.fullmatch(rf"{tag}(?: {tag})*", row[-1]) or re.search(rf"\({tag}", " ".join(row)), row
+            tagged += 1
+    assert tagged > 40
+    groups = [row[-1] for row in rows] + re.findall(r"\(([^()]*)\)", body)
+    named = {end for g in groups if re.fullmatch(rf"{tag}(?: {tag})*", g) for end in re.split("[ -]", g)}
+    assert named <= known and len(named) > 20
+
+
+def test_every_figure_names_an_entry_that_is_listed(docs: Path) -> None:
+    sources_hold(page.render(load(), records.read(docs / "capacity"))[0])
+    sources_hold((DOCS / page.PAGE).read_text())
+
+
+# ------------------------------------------------------------ writing and checking
+
+
+def test_write_and_check_agree_and_print_shows_the_same(
+    docs: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    where = ("--docs", str(docs))
+    assert command(monkeypatch, *where, "--check") == 1
+    assert "is not there" in capsys.readouterr().err
+    assert command(monkeypatch, *where, "--write") == 0
+    assert command(monkeypatch, *where, "--check") == 0
+    capsys.readouterr()
+    assert command(monkeypatch, *where) == 0
+    assert capsys.readouterr().out == (docs / page.PAGE).read_text()
+    assert command(monkeypatch, *where, "--check", "--write") == 2
+
+
+def test_check_names_each_line_of_the_page_that_was_changed(
+    docs: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    written = page.write(docs, load())
+    lines = written.read_text().splitlines()
+    changed = [i for i, line in enumerate(lines) if line.startswith(("| membership |", "| a zone |"))][:2]
+    for i in changed:
+        lines[i] = re.sub(r"\d", "9", lines[i], count=3)
+    written.write_text("\n".join(lines) + "\n")
+    assert command(monkeypatch, "--docs", str(docs), "--check") == 1
+    told = capsys.readouterr().err.splitlines()
+    assert [line.split(": ")[0] for line in told] == [f"{written}:{i + 1}" for i in changed]
+
+
+def test_check_tells_a_record_that_has_changed_behind_the_page(docs: Path) -> None:
+    page.write(docs, load())
+    record = slopes()
+    record["duties"]["membership"] = duty("member", SIZES, {"bytes_per_s": (500.0, 0.5)})
+    keep(docs, "slopes", record)
+    assert any("membership" in line and "CAPACITY.md:" in line for line in page.check(docs, load()))
+    (docs / "capacity" / "overhead.json").unlink()
+    assert any("not measured" in line for line in page.check(docs, load()))
+
+
+def test_a_cut_page_is_told(docs: Path) -> None:
+    written = page.write(docs, load())
+    written.write_text(written.read_text().rstrip("\n"))
+    assert page.check(docs, load()) == [f"{written}: its end"]
+    whole = page.render(load(), records.read(docs / "capacity"))[0].splitlines()
+    written.write_text("\n".join(whole[:-1]) + "\n")
+    assert len(page.check(docs, load())) == 1
+
+
+def broken(record: dict[str, Any], where: str) -> dict[str, Any]:
+    member = record["duties"]["membership"]
+    if where == "revision":
+        record["revision"] = ""
+    elif where == "command":
+        record["command"] = ""
+    elif where == "points":
+        member["points"] = member["points"][:2]
+    elif where == "seconds":
+        member["points"][0]["seconds"] = 0.0
+    elif where == "source":
+        member["points"][0]["source"] = "guessed"
+    elif where == "fit":
+        member["fits"]["bytes_per_s"]["slope"] = [0.6, 0.6, 0.6]
+    elif where == "form":
+        member["fits"]["bytes_per_s"]["form"] = "cubic"
+    elif where == "trouble":
+        record["troubles"][0]["source"] = ""
+    return record
+
+
+@pytest.mark.parametrize(
+    ("where", "told"),
+    [
+        ("revision", "names no revision or date"),
+        ("command", "names no command"),
+        ("points", "has 2 points of hollow behind it"),
+        ("seconds", "the point at 50 has no source or no seconds"),
+        ("source", "the point at 50 has no source or no seconds"),
+        ("fit", "the fit of bytes_per_s is not what its points give"),
+        ("form", "bytes_per_s as cubic: no such form"),
+        ("trouble", "trouble zone: no source or no members"),
+    ],
+)
+def test_a_figure_without_a_run_behind_it_is_told_and_not_written(docs: Path, where: str, told: str) -> None:
+    assert backing.unbacked(records.read(docs / "capacity")) == []
+    keep(docs, "slopes", broken(slopes(), where))
+    assert any(told in line for line in backing.unbacked(records.read(docs / "capacity")))
+    with pytest.raises(
+        records.RecordError, match=re.escape(told.split("behind")[0].split(" is not")[0][:20])
+    ):
+        page.write(docs, load())
+    assert not (docs / page.PAGE).exists()
+
+
+def test_runs_of_calls_and_of_the_feed_must_have_been_made(docs: Path) -> None:
+    none, nobody = overhead(), feed()
+    none["runs"][0]["requests"] = 0
+    nobody["runs"][1]["source"] = ""
+    nobody |= {"revision": "", "at": ""}
+    nobody["runs"][1] |= {"revision": "abc", "at": "2026-01-02"}
+    keep(docs, "overhead", none)
+    keep(docs, "feed", nobody)
+    assert backing.unbacked(records.read(docs / "capacity")) == [
+        "overhead.json, run 0: no requests were made",
+        "feed.json, run 0: names no revision or date",
+        "feed.json, run 1: no source or no nodes",
+    ]
+
+
+def test_an_assumption_needs_a_source_and_a_use(
+    docs: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = docs / "capacity" / "assumed.toml"
+    whole = file.read_text()
+    file.write_text(whole + '\n[of_no_use]\nvalue = 1.0\nunit = ""\nsource = "a test"\n')
+    assert "assumed.toml: no figure uses of_no_use" in page.check(docs, load())
+    for wrong, told in (
+        (re.sub(r'(\[part_node\][^[]*source = )"[^"]*"', r'\g<1>""', whole), "part_node.source: is missing"),
+        (whole.replace("value = 4.0", 'value = "four"'), "value: a number"),
+        (whole.replace("[part_node]", "[part_nodes]"), "part_node is missing"),
+        ("[", "assumed.toml"),
+    ):
+        assert wrong != whole
+        file.write_text(wrong)
+        assert command(monkeypatch, "--docs", str(docs)) == 2
+        said = capsys.readouterr().err
+        assert told in said and said.count("\n") == 1
+
+
+@pytest.mark.parametrize("text", ["", "[]", '{"schema": 1}', '{"schema": 1, "revision": 3, "at": ""}'])
+def test_a_record_that_cannot_be_read_is_one_line(
+    docs: Path, text: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (docs / "capacity" / "slopes.json").write_text(text)
+    assert command(monkeypatch, "--docs", str(docs), "--check") == 2
+    said = capsys.readouterr().err
+    assert "slopes.json: " in said and said.count("\n") == 1
+
+
+def test_what_is_not_recorded_reads_so_and_its_sums_are_bounds(docs: Path) -> None:
+    for name in ("slopes", "overhead", "feed"):
+        (docs / "capacity" / f"{name}.json").unlink()
+    text = page.render(load(), records.read(docs / "capacity"), NOTHING_BUILT)[0]
+    row = next(line for line in text.splitlines() if line.startswith("| membership | "))
+    assert row.split(" | ")[1:3] == ["not measured", "not measured"] and "779 B/s" in row
+    left = next(line for line in text.splitlines() if line.startswith("| **left** | "))
+    assert left.count("at most") == 3
+    assert "R1" not in text
+
+
+# ------------------------------------------------------------ what happens
+
+
+def cells(text: str, start: str) -> list[str]:
+    return (
+        next(line for line in text.splitlines() if line.startswith(f"| {start} |")).strip("| ").split(" | ")
+    )
+
+
+def test_changes_failures_and_calls_are_the_targets_and_the_records(docs: Path) -> None:
+    text = page.render(load(), records.read(docs / "capacity"), ("members", "feed"))[0]
+    large = cells(text, "one large")
+    assert large[1] == "200 kB" and large[3] == "20.0 s" and large[5] == "no"
+    assert cells(text, "a burst of small")[1] == "230 kB"
+    zone = cells(text, "a zone")
+    assert zone[1:6] == ["3 a year", "113", "12,345", "6.54 kB", "7.70 s"] and re.search(r"R\d", zone[-1])
+    assert "a zone, as played: nothing at all" in text
+    assert cells(text, "a machine")[3] == "not measured" and cells(text, "a machine")[5] == "8.30 s"
+    hop = cells(text, "1 node in a row, 10 servers, open")
+    assert hop[1:5] == ["0.250 ms", "0.750 ms", "300 us", "1.22%"]
+    deep = next(line for line in text.splitlines() if line.startswith("| ... times the depth"))
+    assert "| 6.25 ms | 18.8 ms |" in deep
+    assert cells(text, "calm, 790, simulated")[3] == "4.50 s"
+    assert "Without `fawngw/feed` the same rule names **configuration to all nodes** first" in text
+
+
+def test_a_chain_that_was_run_needs_no_multiple(docs: Path) -> None:
+    record = overhead()
+    record["runs"].append(record["runs"][0] | {"chain": 25, "added": {"p50_ms": 5.0, "p99_ms": 11.0}})
+    keep(docs, "overhead", record)
+    text = page.render(load(), records.read(docs / "capacity"), NOTHING_BUILT)[0]
+    assert "times the depth" not in text
+    assert cells(text, "25 nodes in a row, 10 servers, open")[1:3] == ["5 ms", "11 ms"]
+
+
+def test_a_larger_target_changes_the_page(docs: Path) -> None:
+    page.write(docs, load())
+    found = page.check(docs, with_(load(), servers=800))
+    assert any("800" in line for line in found)
