--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -14,10 +14,10 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from fawngw.cli.capacity import capacity
 from fawngw.cli.feedsim import feed
 from fawngw.cli.overhead import overhead
 from fawngw.cli.scale import scale
-from fawngw.cli.capacity import capacity
 from fawngw.cli.terminal import console
 from fawngw.lab.runs import Folder, RunFolderError
 from fawngw.lab.scenario import Scenario, load, shipped
@@ -35,8 +35,6 @@
 DEFAULT_POLICIES = "module,random,round-robin,least-outstanding,p2c-peak-ewma,true-state"
 
 
-
-
 @app.command("list")
 def list_scenarios(as_json: AsJson = False) -> None:
     """The scenarios that come with the package."""
--- a/fawngw/lab/live/processes.py
+++ b/fawngw/lab/live/processes.py
@@ -103,7 +103,6 @@
         self.log: deque[str] = deque(maxlen=400)
         self.listener: int | None = None  # a listening socket that every process of it inherits
         self.command = [sys.executable, "-m", "fawngw"]
-        self.environment: dict[str, str] = {}  # besides this process's own
         self._process: asyncio.subprocess.Process | None = None
         self._ending: list[asyncio.subprocess.Process] = []
         self._reader: asyncio.Task[None] | None = None
@@ -119,7 +118,6 @@
         config.write_text(json.dumps(raw))
         environment = {
             **os.environ,
-            **self.environment,
             "NODE_NAME": self.name,
             "NODE_LISTEN": f"{HOST}:{self.port}",
             "NODE_DISCOVERY": self.discovery,
@@ -221,12 +219,6 @@
         if self._reader is not None:
             await self._reader
 
-    @property
-    def pid(self) -> int:
-        """The present process's id."""
-        assert self._process is not None
-        return self._process.pid
-
     def memory_mb(self) -> float:
         """Resident memory now, from /proc; 0 if it has ended."""
         if self._process is None or self._process.returncode is not None:
