--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -4,8 +4,16 @@
 
 import asyncio
 import contextlib
+import json
+import re
+import resource
 import socket
+import sys
+import time
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -14,6 +22,8 @@
 from tests.hastened import run_hastened
 from tests.stubs import (
     HOST,
+    PATIENCE_S,
+    Answer,
     Caller,
     StubServer,
     held,
@@ -32,6 +42,7 @@
 
 TROUBLES = ("refused", "reset", "failed", "broken", "half", "silent", "given up")
 MARGIN_S = 0.5  # for a node that is busy
+READY_S = 10.0  # in which nine of ten restarted processes have to be ready
 TOLD_S = 6.0  # after discovery had it and could be reached, news counts as told
 
 
@@ -41,6 +52,7 @@
 
     trouble: str
     over: bool = False
+    news: dict[str, Any] = field(default_factory=lambda: listing(2))
     calls: int = 0
     open: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -51,7 +63,7 @@
             await read_head(reader)
             if self.over:
                 _head(writer)
-                tell(writer, listing(2))
+                tell(writer, self.news)
             elif self.trouble == "reset":
                 writer.transport.abort()
             elif self.trouble == "failed":
@@ -248,3 +260,161 @@
             assert (last in [got.target for got in server.received]) is not leaves
 
     run(main())
+
+
+# ---------------------------------------------------------------- real processes
+
+
+@contextlib.asynccontextmanager
+async def _process(
+    tmp_path: Path,
+    name: str,
+    server: StubServer,
+    discovery: str,
+    listen: str = f"{HOST}:0",
+    sockets: int = 256,
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, Path]]:
+    """A process with just so many descriptors, until the end of the test; what it logs goes to a file."""
+    config, log = tmp_path / f"{name}.json", tmp_path / f"{name}.log"
+    told = settings(registryMode="pushed", guarantees={**settings()["guarantees"], "mustAskInMs": 10_000.0})
+    limits = {"memory_mb": 96, "sockets": sockets}
+    raw = {"seed": "1", "limits": limits, "settings": told, "known": listing(1, row("a", server.address))}
+    config.write_text(json.dumps(raw))
+    environment = {
+        "NODE_NAME": name,
+        "NODE_LISTEN": listen,
+        "NODE_DISCOVERY": discovery,
+        "NODE_CONFIG": str(config),
+    }
+    with log.open("wb") as file:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "fawngw",
+            env=environment,
+            stderr=file,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+        )
+    try:
+        yield process, log
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def _listens(log: Path) -> tuple[str, int]:
+    while not (found := re.search(rf"listens on {HOST}:(\d+)", log.read_text())):
+        await asyncio.sleep(0.01)
+    return HOST, int(found[1])
+
+
+async def _rest_on(address: tuple[str, int]) -> None:
+    """An idle client: asks once, rests until the node ends it, and comes again."""
+    while True:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            caller = await Caller.connect(address)
+            try:
+                await caller.ask(target="/ready")
+                await caller.reader.read()
+            finally:
+                caller.close()
+        await asyncio.sleep(1.0)
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_a_node_from_nothing(tmp_path: Path) -> None:
+    """It reaches discovery at its return, answers what it took and ends in order; the crowd stays."""
+
+    async def main() -> None:
+        outage = Outage("refused", over=True)
+        end = socket.socket()
+        end.bind((HOST, 0))  # refuses until it listens
+        discovery = await asyncio.start_server(outage.serve, sock=end, start_serving=False)
+        host, port = end.getsockname()
+        async with (
+            StubServer([reply("200 OK")]) as old,
+            StubServer([held(reply("200 OK"))]) as new,
+            _process(tmp_path, "n0", old, f"{host}:{port}") as (process, log),
+        ):
+            outage.news = listing(2, row("b", new.address))
+            address = await _listens(log)
+            crowd = [asyncio.create_task(_rest_on(address)) for _ in range(400)]
+            open_files = Path(f"/proc/{process.pid}/fd")
+            while len(list(open_files.iterdir())) < 100:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(1.0)
+            await discovery.start_serving()
+            taken = []
+            async with asyncio.timeout(READY_S):
+                while not outage.calls:
+                    await asyncio.sleep(0.01)
+                while not new.received:  # callers may be shut out for a moment, and come again
+                    with contextlib.suppress(OSError):
+                        caller = await Caller.connect(address)
+                        caller.writer.write(request("look"))
+                        taken.append(asyncio.create_task(caller.answer()))
+                        await asyncio.wait(taken[-1:], timeout=0.2)
+            process.terminate()
+            new.release.set()
+            answers = await asyncio.gather(*taken, return_exceptions=True)
+            served = [got for got in answers if isinstance(got, Answer) and got.status == 200]
+            assert len(served) >= len(new.received)
+            assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0, log.read_text()[-2000:]
+            for task in crowd:
+                task.cancel()
+            await asyncio.gather(*crowd, return_exceptions=True)
+        discovery.close()
+
+    run(main())
+
+
+def test_nine_in_ten_restarted_processes_are_ready_within_ten_seconds(tmp_path: Path) -> None:
+    """Killed under load and started again at once, while discovery refuses or says nothing."""
+
+    async def asking(address: tuple[str, int], stop: asyncio.Event) -> None:
+        while not stop.is_set():
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                caller = await Caller.connect(address)
+                try:
+                    while not stop.is_set():
+                        await caller.ask("look")
+                finally:
+                    caller.close()
+            await asyncio.sleep(0.01)
+
+    async def ready(address: tuple[str, int]) -> None:
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                caller = await Caller.connect(address)
+                try:
+                    if (await caller.ask(target="/ready")).status == 200:
+                        return
+                finally:
+                    caller.close()
+            await asyncio.sleep(0.02)
+
+    async def restarted(name: str, server: StubServer, discovery: str) -> float:
+        stop = asyncio.Event()
+        async with _process(tmp_path, name, server, discovery) as (_, log):
+            address = await _listens(log)
+            load = [asyncio.create_task(asking(address, stop)) for _ in range(2)]
+            await asyncio.wait_for(ready(address), READY_S)
+        began = time.monotonic()
+        async with _process(tmp_path, name, server, discovery, f"{HOST}:{address[1]}"):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(ready(address), READY_S)
+            took = time.monotonic() - began
+            stop.set()
+        await asyncio.gather(*load)
+        return took
+
+    async def main() -> None:
+        with socket.create_server((HOST, 0)) as silent_agent, socket.socket() as refusing:
+            refusing.bind((HOST, 0))
+            agents = ["{}:{}".format(*end.getsockname()) for end in (silent_agent, refusing)]
+            async with StubServer([reply("200 OK")]) as server:
+                took = await asyncio.gather(*(restarted(f"n{i}", server, agents[i % 2]) for i in range(10)))
+        late = [seconds for seconds in took if seconds >= READY_S]
+        assert len(late) <= 1, took
+
+    run(main())
