Test whole lists that leave out a server, and the time that a further attempt tells

Two sentences of the standing test had no test on loopback sockets. Both held: a server that a whole list leaves out gets nothing and loses its idle connections, and a repeat after 1 s tells its server 1 s less. The first fails when connections of what the list leaves out are kept (that nothing is sent to it is guarded twice), the second when the whole budget is told. 0.7 s.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -25,6 +25,7 @@
     PATIENCE_S,
     Answer,
     Caller,
+    Received,
     StubServer,
     held,
     listing,
@@ -262,6 +263,52 @@
     run(main())
 
 
+# ---------------------------------------------------------------- servers
+
+
+def test_what_a_whole_list_does_not_name_gets_nothing_though_it_still_answers() -> None:
+    """A new watch may begin with the whole list, which leaves out servers that drain."""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as one,
+            StubServer([reply("200 OK")]) as two,
+            world(row("a", one.address), row("b", two.address), registryMode="pushed") as w,
+        ):
+            caller = await w.caller()
+            while not one.received:
+                assert (await caller.ask("look")).status == 200
+            before = len(one.received)
+            tell(await w.discovery.watch(), listing(2, row("b", two.address)))
+            while w.node._discovery._version != 2:
+                await asyncio.sleep(0)
+            for _ in range(20):
+                assert (await caller.ask("look")).status == 200
+            assert len(one.received) == before
+            await asyncio.wait_for(one.left.wait(), 5.0)  # its idle time would be three times as long
+
+    run(main())
+
+
+def test_a_further_attempt_tells_its_server_no_more_than_the_time_that_is_left() -> None:
+    async def late_reset(_: StubServer, __: Received, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(1.0)
+        writer.transport.abort()
+
+    async def main() -> None:
+        servers = [StubServer([late_reset]), StubServer([late_reset])]
+        async with servers[0] as one, servers[1] as two:
+            limited = settings()["policyLimits"] | {"mayDuplicate": False, "tryLimit": 2}
+            async with world(row("a", one.address), row("b", two.address), policyLimits=limited) as w:
+                caller = await w.caller()
+                await caller.ask("look", deadline="3.0")
+            told = [float(got.headers["x-deadline"]) for server in servers for got in server.received]
+            assert len(told) == 2
+            assert min(told) <= max(told) - 1.0 and max(told) <= 3.0
+
+    run_hastened(main())
+
+
 # ---------------------------------------------------------------- real processes
 
 
