--- a/fawngw/lab/feedreal.py
+++ b/fawngw/lab/feedreal.py
@@ -176,11 +176,11 @@
         """Bytes that a relay or publisher has sent and got from those that watch it."""
         answer = await ask(hub.listens, AskStatus(1), CLUSTER, 2.0)
         assert isinstance(answer, Status)
-        return float(answer.value["counts"]["bytes_in"] + answer.value["counts"]["bytes_out"])
+        return float(sum(answer.value["counts"].get(f"bytes_{way}", 0) for way in ("in", "out")))
 
-    async def node_bytes(self) -> float:
-        """Bytes of the feed, both ways, of all nodes."""
-        total = 0.0
+    async def node_bytes(self) -> tuple[float, float]:
+        """Bytes of the feed, both ways, of all nodes; and the longest that one document held a loop up, ms."""
+        total = longest = 0.0
         for node in self.nodes:
             host, _, port = node.managed.rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port))
@@ -188,7 +188,8 @@
             text = (await asyncio.wait_for(reader.read(), 5.0)).decode()
             writer.close()
             total += sum(float(n) for n in re.findall(r"edge_node_feed_bytes\{[^}]*\} (\d+)", text))
-        return total
+            longest = max(longest, float(re.findall(r"feed_longest_us (\d+)", text)[0]) / 1000.0)
+        return total, longest
 
     async def end(self) -> None:
         for process in (*self.nodes, *self.relays, self.publisher):
@@ -215,7 +216,10 @@
         ):
             hubs = [fleet.publisher, *(r for r in fleet.relays if r.process.returncode is None)]
             began, cpu = loop.time(), [n.cpu_s() for n in fleet.nodes]
-            before, node_bytes = {h.name: await fleet.bytes_of(h) for h in hubs}, await fleet.node_bytes()
+            before, node_bytes = (
+                {h.name: await fleet.bytes_of(h) for h in hubs},
+                (await fleet.node_bytes())[0],
+            )
             asked: dict[int, float] = {}
             for number in range(changes):
                 at = 1000.0 * loop.time()
@@ -232,6 +236,7 @@
             by_hub = {h.name: (await fleet.bytes_of(h) - before[h.name]) / spent_s for h in live}
             took = [_first(node, version) - at for version, at in asked.items() for node in fleet.nodes]
             seconds = sorted(t / 1000.0 for t in took if t < 1e12)
+            bytes_now, longest_ms = await fleet.node_bytes()
             used = [100.0 * (n.cpu_s() - c) / spent_s for n, c in zip(fleet.nodes, cpu, strict=True)]
             found.append(
                 {
@@ -247,7 +252,8 @@
                         "worst": _figure(seconds, 1.0),
                     },
                     "unreached": reached.count(False),
-                    "node_bytes_per_s": round((await fleet.node_bytes() - node_bytes) / spent_s / nodes, 1),
+                    "node_bytes_per_s": round((bytes_now - node_bytes) / spent_s / nodes, 1),
+                    "node_held_up_ms": round(longest_ms, 2),  # by one document, since its start
                     "node_core_percent": round(sum(used) / nodes, 3),
                     "node_memory_mb": round(sum(n.memory_mb() for n in fleet.nodes) / nodes, 1),
                     "relay_bytes_per_s": round(max(v for k, v in by_hub.items() if k != "p"), 1),
