--- a/fawngw/lab/feedreal.py
+++ b/fawngw/lab/feedreal.py
@@ -179,7 +179,7 @@
         return float(sum(answer.value["counts"].get(f"bytes_{way}", 0) for way in ("in", "out")))
 
     async def node_bytes(self) -> tuple[float, float]:
-        """Bytes of the feed, both ways, of all nodes; and the longest that one document held a loop up, ms."""
+        """Bytes of the feed, both ways, of all nodes; and how long one document held a loop up, in ms."""
         total = longest = 0.0
         for node in self.nodes:
             host, _, port = node.managed.rpartition(":")
