--- a/fawngw/lab/scale/worker.py
+++ b/fawngw/lab/scale/worker.py
@@ -177,11 +177,9 @@
 def main() -> int:
     """The regions of the zones are the only argument, as a list of JSON."""
     # Real nodes write a line of each change; these pay for the same lines, which nobody reads.
-    with open(os.devnull, "w", encoding="utf-8") as nowhere:
-        logging.basicConfig(
-            stream=nowhere, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s"
-        )
-        uvloop.run(serve(json.loads(sys.argv[1])))
+    nowhere = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115 - until the very end of the process
+    logging.basicConfig(stream=nowhere, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    uvloop.run(serve(json.loads(sys.argv[1])))
     return 0
 
 
