--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -15,6 +15,8 @@
 from rich.table import Table
 
 from fawngw.cli.capacity import capacity
+from fawngw.cli.feedsim import feed
+from fawngw.cli.overhead import overhead
 from fawngw.cli.terminal import console
 from fawngw.lab.runs import Folder, RunFolderError
 from fawngw.lab.scenario import Scenario, load, shipped
@@ -22,7 +24,8 @@
 app = typer.Typer(
     help="Scenarios of a whole platform: simulated, or on loopback sockets.", no_args_is_help=True
 )
-app.command()(capacity)
+for command in (capacity, feed, overhead):
+    app.command()(command)
 out = console()
 Which = Annotated[str, typer.Argument(help="a shipped scenario by name, or a TOML file", show_default=False)]
 AsJson = Annotated[bool, typer.Option("--json", help="print JSON")]
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -14,7 +14,7 @@
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from fawngw.decide import Balancer
@@ -57,8 +57,10 @@
 from fawngw.node.upstream import Call
 
 if TYPE_CHECKING:
+    from fawngw.node.feeding import Feeding
     from fawngw.node.keeping import Keeping
     from fawngw.node.membership import Membership
+    from fawngw.node.overlays import Live
 
 log = logging.getLogger(__name__)
 
@@ -68,6 +70,9 @@
 GUARD_MS = 10.0  # after the budget's end, within the reserve: the module must have answered by then
 PROBE_MS = 250.0
 CALL_PART = 0.4  # of the time to ask again: a call for the list has failed before the next is made
+# Whatever the settings allow after a failed call, news counts as told 6 s after discovery could be reached: a
+# call that is given up then (FIRST_LINE_S) and the longest pause, half of this, must be over before.
+MUST_ASK_MOST_MS = 5_200.0
 
 CALLERS_PART = 0.4  # of all descriptors
 BODIES_PART = 0.25  # of the memory, for the bodies of open requests; as much again may be in buffers
@@ -118,7 +123,8 @@
         self._config = config
         self._loop = asyncio.get_running_loop()
         self._clock = Clock()
-        self._balancer = Balancer(settings, config.seed)
+        must_ask_ms = min(settings.must_ask_ms, MUST_ASK_MOST_MS)
+        self._balancer = Balancer(replace(settings, must_ask_ms=must_ask_ms), config.seed)
         self._events: deque[Event] = deque()
         self._handling = False
         self._requests: dict[RequestId, Pending] = {}
@@ -132,6 +138,7 @@
         self._told = False  # discovery has spoken, or has had its time
         self._membership: Membership | None = None
         self._keeping: Keeping | None = None
+        self._feeding: Feeding | None = None
         self._listener = adopt(config.accept_fd) if config.accept_fd is not None else None
         part = 1.0 if self._listener is None else SHARED_PART
         sockets = int(part * config.limits.sockets)
@@ -190,6 +197,7 @@
         if self._keeping is not None:
             self._post(self._keeping.kept.remembered(self._clock.now()))
         self._discovery.start(known.version if known is not None else 0)
+        self._follow()
         self._catch_up()
         if self._config.management is not None:
             try:
@@ -249,6 +257,15 @@
         except OSError as error:
             raise ConfigError(f"NODE_MEMBERS: members.listen cannot be used: {error}") from None
 
+    def _follow(self) -> None:
+        """The feed of configuration, where it is configured; nothing of it is imported where it is not."""
+        if self._config.feed is None or self._config.overlays is None:
+            return
+        from fawngw.node.feeding import Feeding
+
+        self._feeding = Feeding(self._config.feed, self._config.overlays, self._take_over)
+        self._feeding.start()
+
     async def _accept(self, at: tuple[str, int] | socket.socket) -> None:
         self._address = await self._callers.listen(at)
         log.info("node %s listens on %s:%d", self._config.name, *self._address)
@@ -277,6 +294,8 @@
         self._discovery.close()
         self._callers.close()
         self._servers.close()
+        if self._feeding is not None:
+            await self._feeding.close()
         if self._membership is not None:
             await self._membership.close()
         if self._keeping is not None:
@@ -444,9 +463,16 @@
 
     # ------------------------------------------------------------ attempts
 
+    def _wanted(self, request: RequestId) -> Pending | None:
+        """An open request whose caller has not left by now."""
+        pending = self._requests.get(request)
+        if pending is not None:
+            pending.exchange.notice_end()
+        return self._requests.get(request)
+
     def _send(self, action: Send) -> None:
         request, server = action.request, action.server
-        pending = self._requests.get(request)
+        pending = self._wanted(request)
         if pending is None:
             # Its caller left while this was decided, and the module does not know yet.
             struck = self._struck[request]
@@ -469,7 +495,7 @@
 
         def may_write() -> bool:
             """A repeat has its window; and nobody may have it any more, cancelled or not."""
-            wanted = self._requests.get(request) is pending and pending.started is None
+            wanted = self._wanted(request) is pending and pending.started is None
             return wanted and self._clock.now() < action.before_ms
 
         def written() -> None:
@@ -577,9 +603,18 @@
         except ConfigError as error:
             log.error("the new configuration cannot be used, discovery stays where it was: %s", error)
             return
+        if self._feeding is not None:
+            address = self._feeding.rebase(address)
         log.info("discovery is at %s:%d now", *address)
         self._discovery.move(address)
 
+    def _take_over(self, live: Live) -> None:
+        """A document of the feed came into force: what may change while the node runs is this now."""
+        self._servers.connect_s = live.connect_timeout_ms / 1000.0
+        if live.discovery != self._discovery.address:
+            log.info("discovery is at %s:%d now, as the feed says", *live.discovery)
+            self._discovery.move(live.discovery)
+
     def _catch_up(self) -> None:
         """Follow a configuration that was replaced while this process started and took no signals."""
         try:
@@ -618,7 +653,7 @@
             pool_ejected=balancer.pool_ejected,
             more={
                 name: value
-                for part in (self._membership, self._keeping)
+                for part in (self._membership, self._keeping, self._feeding)
                 if part is not None
                 for name, value in part.figures().items()
             },
