--- a/fawngw/cli/lab.py
+++ b/fawngw/cli/lab.py
@@ -17,6 +17,7 @@
 from fawngw.cli.capacity import capacity
 from fawngw.cli.feedsim import feed
 from fawngw.cli.overhead import overhead
+from fawngw.cli.scale import scale
 from fawngw.cli.terminal import console
 from fawngw.lab.runs import Folder, RunFolderError
 from fawngw.lab.scenario import Scenario, load, shipped
@@ -24,7 +25,7 @@
 app = typer.Typer(
     help="Scenarios of a whole platform: simulated, or on loopback sockets.", no_args_is_help=True
 )
-for command in (capacity, feed, overhead):
+for command in (capacity, feed, overhead, scale):
     app.command()(command)
 out = console()
 Which = Annotated[str, typer.Argument(help="a shipped scenario by name, or a TOML file", show_default=False)]
--- a/fawngw/lab/live/processes.py
+++ b/fawngw/lab/live/processes.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from collections import deque
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -90,8 +91,10 @@
         known: dict[str, Any],
         seed: int,
         state: bool = False,
+        environment: Mapping[str, str] | None = None,
     ) -> None:
         self.state = state  # whether it keeps a state directory
+        self.environment = dict(environment or {})  # beside what every node is told
         self.name, self.folder, self.discovery, self.seed = name, folder, discovery, seed
         self.settings, self.known = settings, known
         self.port = 0
@@ -100,7 +103,6 @@
         self.log: deque[str] = deque(maxlen=400)
         self.listener: int | None = None  # a listening socket that every process of it inherits
         self.command = [sys.executable, "-m", "fawngw"]
-        self.environment: dict[str, str] = {}  # besides this process's own
         self._process: asyncio.subprocess.Process | None = None
         self._ending: list[asyncio.subprocess.Process] = []
         self._reader: asyncio.Task[None] | None = None
@@ -116,11 +118,11 @@
         config.write_text(json.dumps(raw))
         environment = {
             **os.environ,
-            **self.environment,
             "NODE_NAME": self.name,
             "NODE_LISTEN": f"{HOST}:{self.port}",
             "NODE_DISCOVERY": self.discovery,
             "NODE_CONFIG": str(config),
+            **self.environment,
         }
         if self.state:
             file = self.folder / f"{self.name}-state.toml"
@@ -159,10 +161,13 @@
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
         while line := (await process.stderr.readline()).decode(errors="replace").rstrip():
-            self.log.append(line)
-            if (found := LISTENS.search(line)) is not None:
-                self.port = int(found[1])
-                self._listens.set()
+            self._hear(line)
+
+    def _hear(self, line: str) -> None:
+        self.log.append(line)
+        if (found := LISTENS.search(line)) is not None:
+            self.port = int(found[1])
+            self._listens.set()
 
     async def _until_ready(self) -> None:
         process = self._process
