--- a/fawngw/lab/capacity/backing.py
+++ b/fawngw/lab/capacity/backing.py
@@ -26,8 +26,8 @@
         if run.requests < 1:
             found.append(f"overhead.json, run {i}: no requests were made")
     for i, one in enumerate(records.feed.runs if records.feed else ()):
-        if records.feed and not ((one.revision or records.feed.revision) and (one.at or records.feed.at)):
-            found.append(f"feed.json, run {i}: names no revision or date")
+        if records.feed and not (one.revision or records.feed.revision):
+            found.append(f"feed.json, run {i} ({one.source}, {one.case}, {one.nodes}): names no revision")
         if one.source not in SOURCES or one.nodes < 1:
             found.append(f"feed.json, run {i}: no source or no nodes")
     return found
--- a/fawngw/lab/capacity/page.py
+++ b/fawngw/lab/capacity/page.py
@@ -70,6 +70,7 @@
         "overhead": tables.overhead(book, demand).markdown(),
         "wiring": tables.wiring(book, demand).markdown(),
         "changes": events.changes(book, demand).markdown(),
+        "dearest": events.dearest(demand),
         "feed": events.feed(book, demand).markdown(),
         "failures": events.failures(book, demand).markdown(),
     }
