--- a/fawngw/lab/capacity/demand.py
+++ b/fawngw/lab/capacity/demand.py
@@ -243,10 +243,9 @@
         return Cost("configuration", core, memory, moved, messages)
 
     def _real_core(self) -> Figure | None:
-        """Core time of a real node in the feed's calm case, at the size that was run: a node's own watches."""
-        sizes = sorted(
-            {run.nodes for run in (self.records.feed.runs if self.records.feed else ())}, reverse=True
-        )
+        """Core time of a real node in the feed's calm case, at the largest size that was run."""
+        runs = self.records.feed.runs if self.records.feed else []
+        sizes = sorted({run.nodes for run in runs}, reverse=True)
         found = (self.feed("calm", "node_core_percent", "%", nodes, "real") for nodes in sizes)
         core = next((figure for figure in found if figure is not None), None)
         return None if core is None else replace(core, beyond=True)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -272,3 +272,20 @@
     page.write(docs, load())
     found = page.check(docs, with_(load(), servers=800))
     assert any("800" in line for line in found)
+
+
+def test_of_the_feeds_other_cases_the_slowest_is_shown_and_the_dearest_is_told(docs: Path) -> None:
+    record = feed()
+    calm = record["runs"][0]
+    for case, worst, sent in (("cut", 2.0, 10.0), ("relay-dies", 3.0, 9000.0), ("burst", 1.0, 20.0)):
+        took = {"p50": 0.1, "p99": 0.2, "worst": worst}
+        record["runs"].append(calm | {"case": case, "in_force_s": took, "node_bytes_per_s": sent})
+    real = {"nodes": 60, "source": "real", "node_core_percent": 0.5}
+    record["runs"].append(calm | real)
+    keep(docs, "feed", record)
+    text = page.render(load(), records.read(docs / "capacity"), ("members", "feed"))[0]
+    assert "| relay-dies, 790, simulated |" in text and "| cut, 790, simulated |" not in text
+    assert cells(text, "calm, 60, real")[7] == "0.500%"
+    assert "a node took 9 kB/s" in text and "more than the part that it is to keep to, 3.33 kB/s" in text
+    # a real node's core time stands in for that of nodes at the target's size, with a star
+    assert cells(text, "configuration")[2] == "0.500% *"
