--- a/fawngw/lab/feedreal.py
+++ b/fawngw/lab/feedreal.py
@@ -178,9 +178,11 @@
         assert isinstance(answer, Status)
         return float(sum(answer.value["counts"].get(f"bytes_{way}", 0) for way in ("in", "out")))
 
-    async def node_bytes(self) -> tuple[float, float]:
-        """Bytes of the feed, both ways, of all nodes; and how long one document held a loop up, in ms."""
-        total = longest = 0.0
+    async def node_bytes(self) -> tuple[float, float, float]:
+        """Bytes of the feed, both ways, of all nodes; and the longest that one document held a loop up and
+        the most processor time that one took, both in ms.
+        """
+        total = longest = most = 0.0
         for node in self.nodes:
             host, _, port = node.managed.rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port))
@@ -189,7 +191,8 @@
             writer.close()
             total += sum(float(n) for n in re.findall(r"edge_node_feed_bytes\{[^}]*\} (\d+)", text))
             longest = max(longest, float(re.findall(r"feed_longest_us (\d+)", text)[0]) / 1000.0)
-        return total, longest
+            most = max(most, float(re.findall(r"feed_most_cpu_us (\d+)", text)[0]) / 1000.0)
+        return total, longest, most
 
     async def end(self) -> None:
         for process in (*self.nodes, *self.relays, self.publisher):
@@ -236,7 +239,7 @@
             by_hub = {h.name: (await fleet.bytes_of(h) - before[h.name]) / spent_s for h in live}
             took = [_first(node, version) - at for version, at in asked.items() for node in fleet.nodes]
             seconds = sorted(t / 1000.0 for t in took if t < 1e12)
-            bytes_now, longest_ms = await fleet.node_bytes()
+            bytes_now, longest_ms, most_cpu_ms = await fleet.node_bytes()
             used = [100.0 * (n.cpu_s() - c) / spent_s for n, c in zip(fleet.nodes, cpu, strict=True)]
             found.append(
                 {
@@ -254,6 +257,7 @@
                     "unreached": reached.count(False),
                     "node_bytes_per_s": round((bytes_now - node_bytes) / spent_s / nodes, 1),
                     "node_held_up_ms": round(longest_ms, 2),  # by one document, since its start
+                    "node_document_cpu_ms": round(most_cpu_ms, 2),
                     "node_core_percent": round(sum(used) / nodes, 3),
                     "node_memory_mb": round(sum(n.memory_mb() for n in fleet.nodes) / nodes, 1),
                     "relay_bytes_per_s": round(max(v for k, v in by_hub.items() if k != "p"), 1),
--- a/fawngw/node/feeding.py
+++ b/fawngw/node/feeding.py
@@ -34,7 +34,7 @@
         self._refused: dict[str, int] = {}  # the version refused last, by scope, until one is taken
         self._taken = 0
         self._unkept = 0  # documents in force that the disk did not take
-        self._longest_us = 0  # that a document has held the loop up
+        self._longest_us = self._most_cpu_us = 0  # that a document has held the loop up, and its work alone
 
     def start(self) -> None:
         """Begin to watch; the documents kept are in force already."""
@@ -54,7 +54,7 @@
 
     def _document(self, document: Document) -> None:
         """A document came whole: in force from here on, or refused with a line."""
-        head, began, why = document.head, time.perf_counter(), ""
+        head, began, cpu, why = document.head, time.perf_counter(), time.thread_time(), ""
         try:
             proposal = self._overlays.propose(document)
             self._take_over(proposal.live)
@@ -63,6 +63,7 @@
             why = " ".join(str(error).split()).encode()[:WHY_BYTES].decode(errors="ignore")
         spent_us = round(1e6 * (time.perf_counter() - began))
         self._longest_us = max(self._longest_us, spent_us)
+        self._most_cpu_us = max(self._most_cpu_us, round(1e6 * (time.thread_time() - cpu)))
         told: dict[str, Any] = {
             "scope": head.scope,
             "era": head.era,
@@ -105,6 +106,7 @@
             "feed_refused": len(self._refused),
             "feed_unkept": self._unkept,
             "feed_longest_us": self._longest_us,
+            "feed_most_cpu_us": self._most_cpu_us,
             'feed_bytes{way="in"}': counts["bytes_in"],
             'feed_bytes{way="out"}': counts["bytes_out"],
             "feed_dials": counts["dials"],
