--- a/fawngw/lab/scale/record.py
+++ b/fawngw/lab/scale/record.py
@@ -115,8 +115,11 @@
     Real ones that were measured over less than half of the hollow ones' range give the level and not the
     slope: the hollow line is moved by the mean difference where both were measured.
     """
-    off = [row for row in agreement if row["measure"] == measure and not row["agree"]]
+    both = [row for row in agreement if row["measure"] == measure]
+    off = [row for row in both if not row["agree"]]
     hollow, real = by_source.get("hollow"), by_source.get("real")
+    if real is not None and not both:
+        return real  # hollow ones that were never held against real ones prove nothing
     if hollow is None or (
         off
         and real is not None
@@ -125,7 +128,6 @@
         return real or hollow or by_source["simulated"]
     if not off:
         return hollow
-    both = [row for row in agreement if row["measure"] == measure]
     moved = [row["real"][0] - row["hollow"][0] for row in both]
     wide = [math.hypot(row["real"][2] - row["real"][0], row["hollow"][2] - row["hollow"][0]) for row in both]
     by, slack = sum(moved) / len(moved), max(wide)
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -196,6 +196,14 @@
     assert fitted["messages_per_s"]["source"] == "hollow"
 
 
+def test_hollow_ones_that_were_never_held_against_real_ones_are_not_used() -> None:
+    piece = _piece(1.0, 1.6)
+    for point in piece.points["membership"]:
+        point["x"] += 1.0 if point["source"] == "real" else 0.0
+    fits = records.whole(piece, 1, "c")["duties"]["membership"]["fits"]
+    assert {fitted["source"] for fitted in fits.values()} == {"real"}
+
+
 def test_processor_time_is_taken_from_busier_real_ones_rather_than_from_hollow_ones() -> None:
     piece = _piece(1.0, 1.6)
     rows = piece.points["membership"]
