--- a/fawngw/lab/scale/slopes.py
+++ b/fawngw/lab/scale/slopes.py
@@ -377,6 +377,7 @@
                 piece.point("changes", rate, "real", members[i].name, run.seconds, measure)
             _restart_point(piece, rate, spans, idle)
             tell(setting, piece, "changes", rate)
+    without_joiners(piece, "changes")
     for rows in piece.points.values():
         for row in rows:  # memory is held by size, and not by rate
             row["measure"].pop("memory_bytes", None)
@@ -384,6 +385,21 @@
     return piece
 
 
+def without_joiners(piece: Piece, duty: str) -> None:
+    """Leave real nodes out if at the least x they still passed on what they had learnt as they joined."""
+    rows = piece.points.get(duty, [])
+    least = [r for r in rows if r["x"] == min(r["x"] for r in rows)]
+    sent = {s: [r["measure"]["bytes_per_s"] for r in least if r["source"] == s] for s in ("hollow", "real")}
+    if not sent["real"] or not sent["hollow"] or fmean(sent["real"]) <= FRESH * fmean(sent["hollow"]):
+        return
+    why = f"it still passed on what it had learnt as it joined, {fmean(sent['real']):.0f} bytes a second"
+    for row in rows:
+        if row["source"] == "real":
+            what = {"duty": duty, "x": row["x"], "source": "real", "process": row["process"]}
+            piece.left_out.append({**what, "why": why})
+    piece.points[duty] = [r for r in rows if r["source"] != "real"]
+
+
 async def _restarts(fleet: Fleet, names: list[str], rate: float, rng: Random, over: asyncio.Event) -> None:
     if rate <= 0.0:
         return
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -24,7 +24,7 @@
 from fawngw.lab.scale.places import places, zone_of
 from fawngw.lab.scale.proc import check_descriptors, check_machine, core_ms
 from fawngw.lab.scale.run import Choice
-from fawngw.lab.scale.slopes import Piece, Setting, by_size, check, unfit
+from fawngw.lab.scale.slopes import Piece, Setting, by_size, check, unfit, without_joiners
 from fawngw.lab.scale.target import KINDS, ScaleError, Trouble, load
 from fawngw.lab.scale.troubles import plan
 from tests.test_cli import crowpost
@@ -204,6 +204,17 @@
     assert {fitted["source"] for fitted in fits.values()} == {"real"}
 
 
+@pytest.mark.parametrize(("real", "left"), [(210.0, 0), (1_850.0, 6)])
+def test_real_nodes_that_have_just_joined_are_left_out(real: float, left: int) -> None:
+    piece = Piece()
+    for x in (0.0, 1.0):
+        for i in range(3):
+            piece.point("changes", x, "hollow", f"w{i}", 9.0, {"bytes_per_s": 220.0 + 900.0 * x})
+            piece.point("changes", x, "real", f"r{i}", 9.0, {"bytes_per_s": real + 900.0 * x})
+    without_joiners(piece, "changes")
+    assert len(piece.left_out) == left and len(piece.points["changes"]) == 12 - left
+
+
 def test_processor_time_is_taken_from_busier_real_ones_rather_than_from_hollow_ones() -> None:
     piece = _piece(1.0, 1.6)
     rows = piece.points["membership"]
