--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -15,10 +15,14 @@
 import uvloop
 from scipy import stats
 
+from fawngw.feed.carrier import Carrier
+from fawngw.feed.config import FeedConfig
+from fawngw.feed.model import make_document
 from fawngw.lab.scale import record as records
 from fawngw.lab.scale import simulated
 from fawngw.lab.scale.fit import line, mean
 from fawngw.lab.scale.fleet import Fleet, Reading
+from fawngw.lab.scale.follow import HollowFollower
 from fawngw.lab.scale.hollow import Cut, _Gate
 from fawngw.lab.scale.page import page
 from fawngw.lab.scale.places import places, zone_of
@@ -415,3 +419,35 @@
     before = _children()
     uvloop.run(work())
     assert _children() <= before
+
+
+def test_a_hollow_follower_has_in_force_what_is_published() -> None:
+    async def work() -> None:
+        config = FeedConfig("c", "p", role="publisher", region="north", listen="127.0.0.1:0")
+        hub = Carrier(config, lambda document: None, on_publish=lambda link, asked: None)
+        nodes = [HollowFollower(place, Cut([0])) for place in places(TARGET.topology, 3)]
+        try:
+            upstreams = [[await hub.listen(), "p"]]
+            hub.start()
+            for node in nodes:
+                await node.start({"cluster": "c", "region": "north", "upstreams": upstreams})
+
+            async def held(text: str) -> None:
+                while {node.look() for node in nodes} != {text}:
+                    await asyncio.sleep(0.01)
+
+            async with asyncio.timeout(20.0):
+                await held("1 0")
+                for version in (1, 2):
+                    body = b"x" * 2_000 * version
+                    hub.announce(make_document("all", 1, version, body, author="a", reason="r", writer="p"))
+                    await held(f"1 {version}")
+            for node in nodes:
+                counts = node.counts()
+                assert counts["documents"] == 2 and counts["bytes_in"] > 6_000 > counts["bytes"] > 0
+        finally:
+            for node in nodes:
+                await node.end(False)
+            await hub.close()
+
+    asyncio.run(work())
