--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -15,16 +15,20 @@
 import uvloop
 from scipy import stats
 
+from fawngw.feed.carrier import Carrier
+from fawngw.feed.config import FeedConfig
+from fawngw.feed.model import make_document
 from fawngw.lab.scale import record as records
 from fawngw.lab.scale import simulated
 from fawngw.lab.scale.fit import line, mean
 from fawngw.lab.scale.fleet import Fleet, Reading
+from fawngw.lab.scale.follow import HollowFollower
 from fawngw.lab.scale.hollow import Cut, _Gate
 from fawngw.lab.scale.page import page
 from fawngw.lab.scale.places import places, zone_of
 from fawngw.lab.scale.proc import check_descriptors, check_machine, core_ms
 from fawngw.lab.scale.run import Choice
-from fawngw.lab.scale.slopes import Piece, Setting, by_size, check, unfit
+from fawngw.lab.scale.slopes import Piece, Setting, by_size, check, unfit, without_joiners
 from fawngw.lab.scale.target import KINDS, ScaleError, Trouble, load
 from fawngw.lab.scale.troubles import plan
 from tests.test_cli import crowpost
@@ -196,6 +200,25 @@
     assert fitted["messages_per_s"]["source"] == "hollow"
 
 
+def test_hollow_ones_that_were_never_held_against_real_ones_are_not_used() -> None:
+    piece = _piece(1.0, 1.6)
+    for point in piece.points["membership"]:
+        point["x"] += 1.0 if point["source"] == "real" else 0.0
+    fits = records.whole(piece, 1, "c")["duties"]["membership"]["fits"]
+    assert {fitted["source"] for fitted in fits.values()} == {"real"}
+
+
+@pytest.mark.parametrize(("real", "left"), [(210.0, 0), (1_850.0, 6)])
+def test_real_nodes_that_have_just_joined_are_left_out(real: float, left: int) -> None:
+    piece = Piece()
+    for x in (0.0, 1.0):
+        for i in range(3):
+            piece.point("changes", x, "hollow", f"w{i}", 9.0, {"bytes_per_s": 220.0 + 900.0 * x})
+            piece.point("changes", x, "real", f"r{i}", 9.0, {"bytes_per_s": real + 900.0 * x})
+    without_joiners(piece, "changes")
+    assert len(piece.left_out) == left and len(piece.points["changes"]) == 12 - left
+
+
 def test_processor_time_is_taken_from_busier_real_ones_rather_than_from_hollow_ones() -> None:
     piece = _piece(1.0, 1.6)
     rows = piece.points["membership"]
@@ -396,3 +419,35 @@
     before = _children()
     uvloop.run(work())
     assert _children() <= before
+
+
+def test_a_hollow_follower_has_in_force_what_is_published() -> None:
+    async def work() -> None:
+        config = FeedConfig("c", "p", role="publisher", region="north", listen="127.0.0.1:0")
+        hub = Carrier(config, lambda document: None, on_publish=lambda link, asked: None)
+        nodes = [HollowFollower(place, Cut([0])) for place in places(TARGET.topology, 3)]
+        try:
+            upstreams = [[await hub.listen(), "p"]]
+            hub.start()
+            for node in nodes:
+                await node.start({"cluster": "c", "region": "north", "upstreams": upstreams})
+
+            async def held(text: str) -> None:
+                while {node.look() for node in nodes} != {text}:
+                    await asyncio.sleep(0.01)
+
+            async with asyncio.timeout(20.0):
+                await held("1 0")
+                for version in (1, 2):
+                    body = b"x" * 2_000 * version
+                    hub.announce(make_document("all", 1, version, body, author="a", reason="r", writer="p"))
+                    await held(f"1 {version}")
+            for node in nodes:
+                counts = node.counts()
+                assert counts["documents"] == 2 and counts["bytes_in"] > 6_000 > counts["bytes"] > 0
+        finally:
+            for node in nodes:
+                await node.end(False)
+            await hub.close()
+
+    asyncio.run(work())
