--- a/fawngw/cli/scale.py
+++ b/fawngw/cli/scale.py
@@ -40,14 +40,13 @@
     choice = Choice(short, _sizes(sizes), _names(duties), _names(troubles), seed)
     if add and folder is None:
         raise ScaleError("--add: there is no --out to add to")
-    before = None
     if folder is not None:
         try:
             folder.mkdir(parents=True, exist_ok=True)
         except OSError as error:
             raise ScaleError(f"--out: {error}") from None
         if add and (folder / "record.json").exists():
-            before = records.read(folder / "record.json")
+            records.read(folder / "record.json")  # one that cannot be added to is told of before the run
     err = console(stderr=True)
     columns = (SpinnerColumn(), TextColumn("{task.description}"), TimeElapsedColumn())
     with Progress(*columns, console=err, transient=True) as shown:
@@ -57,6 +56,9 @@
             shown.update(task, description=f"{done}/{of} {name}")
 
         piece = play(target, choice, shown.console.print, progress)
+    before = None
+    if folder is not None and add and (folder / "record.json").exists():
+        before = records.read(folder / "record.json")
     command = " ".join(["crowpost", *(shlex.quote(word) for word in sys.argv[1:])])
     record = records.whole(piece, choice.run(target).seed if seed is None else seed, command, before)
     if folder is not None:
--- a/fawngw/lab/scale/run.py
+++ b/fawngw/lab/scale/run.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from fawngw.lab.live.processes import NodeError
-from fawngw.lab.scale import simulated, slopes, troubles
+from fawngw.lab.scale import changes, simulated, slopes, troubles
 from fawngw.lab.scale.slopes import Piece, Say, Setting
 from fawngw.lab.scale.target import KINDS, Run, ScaleError, Target
 
@@ -85,7 +85,7 @@
 
 
 def _rates(setting: Setting) -> Callable[[], Coroutine[Any, Any, Piece]]:
-    return lambda: slopes.by_rate(setting)
+    return lambda: changes.by_rate(setting)
 
 
 def _configuration(setting: Setting) -> Callable[[], Coroutine[Any, Any, Piece]]:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -20,6 +20,7 @@
 from fawngw.feed.model import make_document
 from fawngw.lab.scale import record as records
 from fawngw.lab.scale import simulated
+from fawngw.lab.scale.changes import without_joiners
 from fawngw.lab.scale.fit import line, mean
 from fawngw.lab.scale.fleet import Fleet, Reading
 from fawngw.lab.scale.follow import HollowFollower
@@ -28,7 +29,7 @@
 from fawngw.lab.scale.places import places, zone_of
 from fawngw.lab.scale.proc import check_descriptors, check_machine, core_ms
 from fawngw.lab.scale.run import Choice
-from fawngw.lab.scale.slopes import Piece, Setting, by_size, check, unfit, without_joiners
+from fawngw.lab.scale.slopes import Piece, Setting, by_size, check, unfit
 from fawngw.lab.scale.target import KINDS, ScaleError, Trouble, load
 from fawngw.lab.scale.troubles import plan
 from tests.test_cli import crowpost
