--- a/fawngw/lab/scale/run.py
+++ b/fawngw/lab/scale/run.py
@@ -26,6 +26,7 @@
 )  # idle: with the duty, side by side on real processes
 SIMULATED_CUT_MEMBERS = 56  # an hour of them is a minute of one core
 SHORT_CUT_S = 120.0
+ZONE_S = 120.0  # simulated, for all to know of a zone's loss
 
 
 @dataclass(frozen=True)
@@ -106,6 +107,10 @@
         piece = Piece()
         for size in setting.run.sizes:
             simulated.quiet(piece, size, min(setting.run.seconds, 10.0), setting.seed)
+        members = setting.run.trouble_members
+        lost = simulated.zone_loss(setting.target.topology, members, ZONE_S, setting.seed)
+        piece.troubles.append(lost)
+        setting.say(f"a zone of {members} lost: known to all after {lost['settled_s']} simulated s")
         hour = setting.target.target.failures.region_cut_s
         for_s = SHORT_CUT_S if choice.short else hour
         found = simulated.region_cut(setting.target.topology, SIMULATED_CUT_MEMBERS, for_s, setting.seed)
--- a/fawngw/lab/scale/simulated.py
+++ b/fawngw/lab/scale/simulated.py
@@ -101,6 +101,51 @@
     }
 
 
+def zone_loss(topology: Topology, size: int, for_s: float, seed: int) -> dict[str, Any]:
+    """All of a zone are killed and stay so: when all others hold them dead, looked at once a second."""
+    swarm = Swarm(seed, Weather())
+    swarm.keep_history = False
+    spots = places(topology, size)
+    for place in spots:
+        swarm.start(place.name, zone=f"z{place.zone}")
+    swarm.acquaint()
+    swarm.run(WARM_MS)
+    zone = Random(f"zone {seed}").choice(spots).zone
+    victims = [place.name for place in spots if place.zone == zone]
+    first = last = _sent(swarm)
+    for name in victims:
+        swarm.kill(name)
+    living = swarm.living()
+    left, begins, series = len(living), swarm.engine.now, []
+    known: float | None = None
+    for second in range(1, int(for_s) + 1):
+        swarm.run(STEP_MS)
+        now = _sent(swarm)
+        series.append((float(second), (now[1] - last[1]) / left * 1000.0 / STEP_MS))
+        last = now
+        if all(p.core.view.alive == left for p in living):
+            known = float(second)
+            break
+    spent, quiet_bytes = (swarm.engine.now - begins) / 1000.0, first[1] / begins * 1000.0
+    return {
+        "kind": "zone",
+        "members": size,
+        "victims": len(victims),
+        "source": "simulated",
+        "seconds": spent,
+        "messages": round(last[0] - first[0] - first[0] / begins * 1000.0 * spent),
+        "bytes_per_member": round((last[1] - first[1] - quiet_bytes * spent) / left, 1),
+        "quiet_bytes_per_s": round(quiet_bytes / size, 1),
+        "most_bytes_per_s": round(max(rate for _, rate in series), 1),
+        "settled_s": known,
+        "settled_within_s": known,
+        "settled_after_s": None,
+        "lost": "until all held them dead, each still counted some of a zone that was gone",
+        "speed": 1.0,
+        "series": _thinned(series),
+    }
+
+
 def _thinned(series: list[tuple[float, float]], most: int = 400) -> list[list[float]]:
     """At the most so many points, each the mean of a stretch."""
     width = -(-len(series) // most)
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -350,6 +350,13 @@
     assert found == simulated.region_cut(TARGET.topology, 14, 20.0, 1)
 
 
+def test_a_simulated_zone_that_is_gone_is_known_to_be() -> None:
+    found = simulated.zone_loss(TARGET.topology, 21, 40.0, 1)
+    assert found["victims"] == 3 and 1.0 < found["settled_s"] < 20.0
+    assert found["bytes_per_member"] > 0 and found["messages"] > 0
+    assert found["series"][-1][0] == found["settled_s"]
+
+
 def _children() -> set[int]:
     found = set()
     for entry in os.listdir("/proc"):
