--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -20,6 +20,7 @@
 from fawngw.feed.model import make_document
 from fawngw.lab.scale import record as records
 from fawngw.lab.scale import simulated
+from fawngw.lab.scale.changes import without_joiners
 from fawngw.lab.scale.fit import line, mean
 from fawngw.lab.scale.fleet import Fleet, Reading
 from fawngw.lab.scale.follow import HollowFollower
@@ -28,7 +29,7 @@
 from fawngw.lab.scale.places import places, zone_of
 from fawngw.lab.scale.proc import check_descriptors, check_machine, core_ms
 from fawngw.lab.scale.run import Choice
-from fawngw.lab.scale.slopes import Piece, Setting, by_size, check, unfit, without_joiners
+from fawngw.lab.scale.slopes import Piece, Setting, by_size, check, unfit
 from fawngw.lab.scale.target import KINDS, ScaleError, Trouble, load
 from fawngw.lab.scale.troubles import plan
 from tests.test_cli import crowpost
@@ -349,6 +350,13 @@
     assert found == simulated.region_cut(TARGET.topology, 14, 20.0, 1)
 
 
+def test_a_simulated_zone_that_is_gone_is_known_to_be() -> None:
+    found = simulated.zone_loss(TARGET.topology, 21, 40.0, 1)
+    assert found["victims"] == 3 and 1.0 < found["settled_s"] < 20.0
+    assert found["bytes_per_member"] > 0 and found["messages"] > 0
+    assert found["series"][-1][0] == found["settled_s"]
+
+
 def _children() -> set[int]:
     found = set()
     for entry in os.listdir("/proc"):
