--- a/fawngw/lab/scale/page.py
+++ b/fawngw/lab/scale/page.py
@@ -92,6 +92,8 @@
             f"{trouble['bytes_per_member']:.0f} bytes a member; one view after {trouble['settled_s']} s. "
             f"Lost meanwhile: {trouble['lost']}."
         )
+        if trouble.get("starved"):
+            text += f" Workers were late by {trouble['late_p99_ms']} ms: the figures are of starved members."
         if trouble["speed"] != 1.0:
             text += f" A day speeded up {trouble['speed']:g} times."
         plots.append((f"Trouble: {trouble['kind']}", text, _trouble(trouble)))
--- a/fawngw/lab/scale/record.py
+++ b/fawngw/lab/scale/record.py
@@ -49,16 +49,18 @@
         fresh = {(r["x"], r["source"]) for r in rows}
         duties[duty] = [r for r in duties.get(duty, []) if (r["x"], r["source"]) not in fresh] + rows
     again = {(t["kind"], t["source"]) for t in piece.troubles}
-    measured = {(d, r["x"]) for d, rows in piece.points.items() for r in rows}
-    measured |= {(r["duty"], r["x"]) for r in piece.left_out}
+    tried = {(d, r["x"], r["source"]) for d, rows in piece.points.items() for r in rows}
+    tried |= {(r["duty"], r["x"], r["source"]) for r in piece.left_out}
+    called = {(r["duty"], r["x"]) for r in piece.calls}
+    left = [r for r in before["left_out"] if (r["duty"], r["x"], r["source"]) not in tried]
     return {
         "schema": SCHEMA,
         **run,
         "cores": os.cpu_count(),
         "duties": {name: _duty(name, rows, duties) for name, rows in sorted(duties.items())},
         "troubles": [t for t in before["troubles"] if (t["kind"], t["source"]) not in again] + piece.troubles,
-        "left_out": [r for r in before["left_out"] if (r["duty"], r["x"]) not in measured] + piece.left_out,
-        "calls": [r for r in before["calls"] if (r["duty"], r["x"]) not in measured] + piece.calls,
+        "left_out": left + piece.left_out,
+        "calls": [r for r in before["calls"] if (r["duty"], r["x"]) not in called] + piece.calls,
         "runs": [*before["runs"], run],
     }
 
--- a/fawngw/lab/scale/troubles.py
+++ b/fawngw/lab/scale/troubles.py
@@ -14,7 +14,7 @@
 from fawngw.lab.scale.fleet import Fleet
 from fawngw.lab.scale.places import Place, places
 from fawngw.lab.scale.real import RealNode, RealNodes
-from fawngw.lab.scale.slopes import Piece, Setting, cluster, contacts, one_view
+from fawngw.lab.scale.slopes import LATE_MS, Piece, Setting, cluster, contacts, one_view
 from fawngw.lab.scale.target import ScaleError, Trouble
 
 EVERY_S = 0.5  # between looks
@@ -174,15 +174,25 @@
                 self.setting.say(f"{kind}: the loss of the zone was not known to all after {LOSS_S:g} s")
         self.looks.clear()
         self.real.fresh()
+        await self.fleet.read()  # from here on workers note how late they are
         await self._watch(self._loop.time() + max(trouble.at_s, 2.0))
         began = self._loop.time()
-        hit, over = await self._hit(plan, began)
+        hit = await self._hit(plan, began)
         await self._end(plan)
         ended = self._loop.time()
         whole = await self._watch(self._loop.time() + AFTER_S, lambda: True)
-        return self._found(plan, began, ended, hit, whole, over)
+        readings = await self.fleet.read()
+        found = self._found(plan, began, ended, hit, whole)
+        found["late_p99_ms"] = round(max(reading.late_p99_ms for reading in readings), 1)
+        found["starved"] = found["late_p99_ms"] > LATE_MS
+        if found["starved"]:
+            late = found["late_p99_ms"]
+            self.setting.say(
+                f"{kind}: workers were late by {late} ms: the figures are those of starved members"
+            )
+        return found
 
-    async def _hit(self, plan: Plan, began: float) -> tuple[float | None, float]:
+    async def _hit(self, plan: Plan, began: float) -> float | None:
         """Begin it and see it through: when all held one view within it, if they did."""
         until = began + plan.trouble.for_s
         work: Awaitable[None] | None = None
@@ -199,7 +209,7 @@
         since = await self._watch(until)
         if work is not None:
             await work
-        return since, until
+        return since
 
     async def _end(self, plan: Plan) -> None:
         if plan.trouble.kind in ("machine", "rack", "zone"):
@@ -221,7 +231,6 @@
         ended: float,
         hit: float | None,
         whole: float | None,
-        over: float,
     ) -> dict[str, Any]:
         kind, looks = plan.trouble.kind, self.looks
         members = len(self.fleet.places)
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -233,19 +233,26 @@
 
 def test_pieces_are_laid_over_each_other(tmp_path: Path) -> None:
     first = _piece(1.0, 1.0)
-    first.left_out.append({"duty": "membership", "x": 400.0, "process": "w1", "why": "late"})
-    first.left_out.append({"duty": "membership", "x": 50.0, "process": "w0", "why": "late"})
+    first.left_out.append(
+        {"duty": "membership", "x": 400.0, "source": "hollow", "process": "w1", "why": "late"}
+    )
+    first.left_out.append(
+        {"duty": "membership", "x": 50.0, "source": "hollow", "process": "w0", "why": "late"}
+    )
     first.troubles.append({"kind": "zone", "source": "hollow", "messages": 1})
+    first.calls.append({"duty": "membership", "x": 400.0, "answered": 1})
     path = tmp_path / "record.json"
     records.write(path, records.whole(first, 1, "one"))
     second = Piece()
+    second.point("membership", 50.0, "simulated", "seed 1", 20.0, {"bytes_per_s": 9.0})
     second.point("membership", 400.0, "hollow", "w0", 20.0, {"core_ms_per_s": 9.0})
     second.troubles.append({"kind": "zone", "source": "hollow", "messages": 2})
     both = records.whole(second, 1, "two", records.read(path))
     points = both["duties"]["membership"]["points"]
     at = [p for p in points if p["x"] == 400.0 and p["source"] == "hollow"]
     assert [p["measure"] for p in at] == [{"core_ms_per_s": 9.0}]
-    assert len(points) == 24 - 3 + 1
+    assert len(points) == 24 - 3 + 1 + 1
+    assert len(both["calls"]) == 1  # those of another source stand
     assert [t["messages"] for t in both["troubles"]] == [2]
     assert [r["x"] for r in both["left_out"]] == [50.0]
     assert [r["command"] for r in both["runs"]] == ["one", "two"]
