--- a/fawngw/lab/scale/troubles.py
+++ b/fawngw/lab/scale/troubles.py
@@ -187,9 +187,7 @@
         found["starved"] = found["late_p99_ms"] > LATE_MS
         if found["starved"]:
             late = found["late_p99_ms"]
-            self.setting.say(
-                f"{kind}: workers were late by {late} ms: the figures are those of starved members"
-            )
+            self.setting.say(f"{kind}: workers were late by {late} ms: figures of starved members")
         return found
 
     async def _hit(self, plan: Plan, began: float) -> float | None:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -164,6 +164,9 @@
 # ------------------------------------------------------------ records
 
 
+LATE = {"duty": "membership", "source": "hollow", "why": "late"}
+
+
 def _piece(hollow: float, real: float) -> Piece:
     piece = Piece()
     for x in (50.0, 200.0, 400.0, 790.0):
@@ -267,7 +270,7 @@
     trouble |= {"settled_s": 1.5, "lost": "nothing", "speed": 1440.0, "seconds": 9.0}
     trouble |= {"series": [[-1.0, 200.0], [0.5, 900.0]], "series_views": [[0.5, 2], [1.0, 1]]}
     piece.troubles.append(trouble)
-    piece.left_out.append({"duty": "membership", "x": 9.0, "process": "w1", "why": "it was late"})
+    piece.left_out.append({**LATE, "x": 9.0, "process": "w1", "why": "it was late"})
     text = page(records.whole(piece, 1, "c"))
     assert text.count("<svg") == 3 and "Trouble: zone" in text and "1440 times" in text
     assert "differ by more than their intervals at 50, 200, 400, 790" in text
