--- a/fawngw/lab/scale/slopes.py
+++ b/fawngw/lab/scale/slopes.py
@@ -283,7 +283,7 @@
             memory = fmean(r.get("memory_bytes", 0.0) for r in rows)
             text = f"{cost:.3f} ms/s, {memory / 1e3:.0f} kB, {size:.0f} B/s"
             setting.say(f"{duty} {x:g} {source}: {text} each, of {len(rows)} processes")
-    for row in piece.left_out:
+    for row in (r for r in piece.left_out if (r["duty"], r["x"]) == (duty, x)):
         setting.say(f"left out: {row['duty']} {row['x']:g} {row['process']}: {row['why']}")
 
 
