Capacity: the page on the real records of slopes, troubles and feed

Slopes as lab scale records them: real points with those just joined, hollow points moved to real ones, means, and slopes for what happens by rate. The dearest case of the feed is told beside the part that it is to keep to.

--- a/fawngw/lab/capacity/backing.py
+++ b/fawngw/lab/capacity/backing.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from fawngw.lab.capacity.lines import fits, line, values
-from fawngw.lab.capacity.records import FORMS, SOURCES, Duty, Records
+from fawngw.lab.capacity.lines import fits, line, points_of, values
+from fawngw.lab.capacity.records import FORMS, SOURCES, Records, Slopes
 
 TOLD_APART = 0.02  # of the largest value: by more a fit is not the one that its points give
 
@@ -17,8 +17,8 @@
     if records.slopes is not None:
         if not records.slopes.command:
             found.append("slopes.json: names no command")
-        for name, duty in records.slopes.duties.items():
-            found += [f"slopes.json, {name}: {line}" for line in _unbacked_duty(duty)]
+        for name in records.slopes.duties:
+            found += [f"slopes.json, {name}: {line}" for line in _unbacked_duty(records.slopes, name)]
         for t in records.slopes.troubles:
             if not any(source in t.source for source in SOURCES) or t.members < 1:
                 found.append(f"slopes.json, trouble {t.kind}: no source or no members")
@@ -33,13 +33,14 @@
     return found
 
 
-def _unbacked_duty(duty: Duty) -> list[str]:
+def _unbacked_duty(slopes: Slopes, name: str) -> list[str]:
     found = []
+    duty = slopes.duties[name]
     for p in duty.points:
         if p.source not in SOURCES or p.seconds <= 0.0:
             found.append(f"the point at {p.x:g} has no source or no seconds")
     for measure, fit in duty.fits.items():
-        xs, ys = values(duty, measure, fit.source)
+        xs, ys = values(points_of(slopes, name, measure, fit), measure, fit)
         if fit.form not in FORMS:
             found.append(f"{measure} as {fit.form}: no such form")
         elif not fits(fit.form, xs, ys):
--- a/fawngw/lab/capacity/demand.py
+++ b/fawngw/lab/capacity/demand.py
@@ -153,7 +153,7 @@
             return None
         feed = self.records.feed
         sources = ", ".join(sorted({r.source for r in runs}))
-        revisions = ", ".join(sorted({(r.revision or feed.revision)[:12] for r in runs}))
+        revisions = ", ".join(sorted({r.revision or feed.revision for r in runs}))
         day = max(r.at or feed.at for r in runs)[:10]
         about = f"feed.json: {sources}, {runs[0].nodes} nodes, revision {revisions}" + (
             f" of {day}" if day else ""
@@ -186,8 +186,10 @@
             return Cost(duty)
         if "change" in found.unit:
             x = self.changes(times)
-        elif found.unit in ("member", "process"):
+        elif found.unit == "member":
             x = self.servers(times)
+        elif found.unit == "process":
+            x = self.coded(1.0, "one node on a server")  # a machine of the run held more
         else:
             raise RecordError(f"slopes.json, {duty}: no such unit: {found.unit!r}")
         core, memory, moved, messages = (at(slopes, duty, measure, x.mid) for measure in MEASURED)
@@ -211,7 +213,9 @@
 
     def _idle(self, times: float) -> Cost:
         cost = self._slope("idle", times)
-        return replace(cost, memory=self.unless(cost.memory, "idle_memory"))
+        none = self.assumed("idle_memory").times(0.0)  # with nothing on it sends nothing
+        held = self.unless(cost.memory, "idle_memory")
+        return replace(cost, memory=held, bytes=none.to("B/s"), messages=none.to("/s"))
 
     def _membership(self, times: float) -> Cost:
         cost = self._slope("membership", times)
--- a/fawngw/lab/capacity/events.py
+++ b/fawngw/lab/capacity/events.py
@@ -54,14 +54,15 @@
 SHOWN = ("calm", "loss", "burst")  # of the feed's cases; of all others the slowest alone
 
 
-def _shown(runs: Sequence[FeedRun]) -> list[tuple[int, str, str]]:
+def _shown(runs: Sequence[FeedRun], size: int) -> list[tuple[int, str, str]]:
     """Sizes, sources and cases that the page shows; docs/feed.md has them all."""
     found = []
     for nodes, source in sorted({(run.nodes, run.source) for run in runs}):
         mine = [run for run in runs if (run.nodes, run.source) == (nodes, source)]
         others = [run for run in mine if run.case not in SHOWN and run.in_force_s.get("worst") is not None]
         slowest = max(others, key=lambda run: (run.in_force_s["worst"] or 0.0, run.case), default=None)
-        cases = [case for case in SHOWN if any(run.case == case for run in mine)]
+        most = SHOWN if nodes == size or source == "real" else SHOWN[:1]
+        cases = [case for case in most if any(run.case == case for run in mine)]
         found += [(nodes, source, case) for case in [*cases, *([slowest.case] if slowest else [])]]
     return found
 
@@ -70,7 +71,7 @@
     """The cases of the feed's record that say most."""
     rows = []
     runs = demand.records.feed.runs if demand.records.feed is not None else []
-    for nodes, source, case in _shown(runs):
+    for nodes, source, case in _shown(runs, demand.target.target.servers):
         told = [demand.feed(case, what, "s", nodes, source) for what in ("p50", "p99", "worst")]
         moved = [demand.feed(case, f"{who}_bytes_per_s", "B/s", nodes, source) for who in PROCESSES]
         core = demand.feed(case, "node_core_percent", "%", nodes, source)
@@ -94,10 +95,10 @@
 
 
 def dearest(demand: Demand) -> tuple[Figure, Figure] | None:
-    """What the busiest node took in the feed's dearest case at the target's size; the part that it may."""
-    found = [
-        demand.feed(case, "node_bytes_per_s", "B/s") for case in sorted({r.case for r in demand.feed_runs()})
-    ]
+    """What the busiest node took in the feed's dearest case of any size; the part that it may."""
+    runs = demand.records.feed.runs if demand.records.feed is not None else []
+    cases = sorted({(run.case, run.nodes, run.source) for run in runs})
+    found = [demand.feed(case, "node_bytes_per_s", "B/s", nodes, source) for case, nodes, source in cases]
     known = [figure for figure in found if figure is not None]
     budget = demand.budget().bytes
     if not known or budget is None:
@@ -147,13 +148,13 @@
     if slopes is None or not found:
         return None, ()
     one = max(found, key=lambda t: (t.members, t.seconds or 0.0))
-    lasted = "" if one.seconds is None else f", for {one.seconds:g} s"
-    speed = "" if one.speed == 1.0 else f", time {one.speed:g} times as fast"
+    lasted = "" if one.seconds is None else f" for {one.seconds:g} s"
+    speed = "" if one.speed == 1.0 else f" at {one.speed:g} times the speed"
     about = (
-        f"slopes.json, trouble {kind}: {one.source}, {one.members} members{lasted}{speed}, "
+        f"slopes.json, troubles: {one.source}, {one.members} members, "
         f"revision {slopes.revision[:12]} of {slopes.at[:10]}"
     )
-    return one, (Origin("measured", f"trouble, {kind}", about),)
+    return one, (Origin("measured", f"trouble {kind.replace('_', ' ')}{lasted}{speed}", about),)
 
 
 def failures(book: Book, demand: Demand) -> Table:
@@ -167,12 +168,16 @@
 
         struck = _struck(demand, kind)
         calls = "" if kind in ("zone_back", "replacements") else struck.times(demand.calls(), "/s")
-        messages, settled, moved = None, None, None
+        messages, moved = None, None
+        settled: Figure | str | None = None
         if played is not None:
             messages, settled = told(played.messages, ""), told(played.settled_s, "s")
+            if settled is None and played.seconds is not None:
+                settled = f"not within {played.seconds:g} s"
             moved = told(played.bytes_per_member, "B")
         if kind == "machine":
-            settled = demand.unless(settled, "death_known_p99_s")
+            stand_in = demand.assumed("death_known_p99_s")
+            settled = stand_in if settled is None else settled
         rows.append(book.row(name, _often(demand, kind), struck, messages, moved, settled, calls))
     heads = (
         "kind",
--- a/fawngw/lab/capacity/lines.py
+++ b/fawngw/lab/capacity/lines.py
@@ -13,9 +13,10 @@
 from scipy.special import stdtrit
 
 from fawngw.lab.capacity.figures import Figure, Origin
-from fawngw.lab.capacity.records import FORMS, MEASURES, SOURCES, Duty, Point, Slopes
+from fawngw.lab.capacity.records import FORMS, MEASURES, SOURCES, Duty, Fit, Point, Slopes
 
 CONFIDENCE = 0.95
+JOINED, JOINED_DUTY = "just joined", "joined"
 LEAST_POINTS = 3  # below that a line has no residual, and so no interval
 
 
@@ -27,10 +28,29 @@
     return [_axis(form, x) for x in xs], [math.log(y) if form == "power" else y for y in ys]
 
 
-def values(duty: Duty, measure: str, source: str) -> tuple[list[float], list[float]]:
-    """The points of a source that hold the measure: where, and what."""
-    kept = [(p.x, p.measure.get(measure)) for p in duty.points if p.source == source]
-    return [x for x, y in kept if y is not None], [y for _, y in kept if y is not None]
+def points_of(slopes: Slopes, name: str, measure: str, fit: Fit) -> list[Point]:
+    """The points that a fit was laid through.
+
+    Its source names them: of one kind of process, those of hollow ones moved to real ones, or those of real
+    ones with more of real ones that had just joined, which the record keeps as a duty of its own.
+    """
+    kind, _, more = fit.source.partition(", ")
+    found = [p for p in slopes.duties[name].points if p.source == kind]
+    if JOINED in more and JOINED_DUTY in slopes.duties:
+        found += slopes.duties[JOINED_DUTY].points
+    return [p for p in found if p.measure.get(measure) is not None]
+
+
+def values(points: Sequence[Point], measure: str, fit: Fit) -> tuple[list[float], list[float]]:
+    """Where the points are, and what they are, moved as the fit is."""
+    kept = [(p.x, p.measure.get(measure)) for p in points]
+    return [x for x, y in kept if y is not None], [y + fit.moved_by for _, y in kept if y is not None]
+
+
+def _slack(duty: Duty, measure: str) -> float:
+    """How wide the moving is itself: the worst of the sizes where both kinds were measured."""
+    both = [a for a in duty.agreement if a.measure == measure]
+    return max((math.hypot(a.real[2] - a.real[0], a.hollow[2] - a.hollow[0]) for a in both), default=0.0)
 
 
 def fits(form: str, xs: Sequence[float], ys: Sequence[float]) -> bool:
@@ -66,7 +86,7 @@
     xs = [p.x for p in points]
     span = f"at {xs[0]:g}" if len(set(xs)) == 1 else f"from {min(xs):g} to {max(xs):g}"
     about = (
-        f"slopes.json, {name}: {points[0].source}, {how}, {len(points)} points {span} {unit} "
+        f"slopes.json, {name}: {how}, {len(points)} points {span} {unit} "
         f"in {sum(p.seconds for p in points):.0f} s, revision {slopes.revision[:12]} of {slopes.at[:10]}"
         + more
     )
@@ -92,13 +112,16 @@
     fit = duty.fits.get(measure)
     if fit is None:
         return _mean(slopes, name, measure)
-    xs, ys = values(duty, measure, fit.source)
+    points = points_of(slopes, name, measure, fit)
+    xs, ys = values(points, measure, fit)
     if fit.form not in FORMS or not fits(fit.form, xs, ys):
         return None
     mid, half = _predict(fit.form, xs, ys, x)
+    if fit.moved_by:
+        half = math.hypot(half, _slack(duty, measure))
     add, times, more = 0.0, 1.0, ""
     apart = [a for a in duty.agreement if a.measure == measure and not a.agree]
-    if apart and fit.source != "real":
+    if apart and fit.source == "hollow":
         one = max(apart, key=lambda a: a.x)
         hollow = one.hollow[0]
         ratio = one.real[0] / hollow if hollow > 0.0 else 1.0
@@ -108,7 +131,7 @@
             add = one.real[0] - hollow
         more = f"; real processes differ at {one.x:g}, and count"
     low, high = max(0.0, (mid - half) * times + add), max(0.0, (mid + half) * times + add)
-    origin = _origin(slopes, name, fit.form, _points(duty, measure, fit.source), more)
+    origin = _origin(slopes, name, f"{fit.source}, {fit.form}", points, more)
     value = max(0.0, mid * times + add)
     return Figure(value * factor, low * factor, high * factor, unit, (origin,), beyond=x > max(xs) * 1.001)
 
@@ -123,11 +146,11 @@
     if len({p.x for p in points}) > 1:
         return None
     _, unit, factor = MEASURES[measure]
-    _, ys = values(duty, measure, source)
+    _, ys = values(points, measure, Fit((0.0, 0.0, 0.0), (0.0, 0.0, 0.0)))
     half = _wide(len(ys) - 1) * stdev(ys) / math.sqrt(len(ys))
     mid = fmean(ys)
     low, high = max(0.0, mid - half) * factor, (mid + half) * factor
-    return Figure(mid * factor, low, high, unit, (_origin(slopes, name, "mean", points),))
+    return Figure(mid * factor, low, high, unit, (_origin(slopes, name, f"{source}, mean", points),))
 
 
 def rise(slopes: Slopes, name: str, measure: str, x: float, members: float) -> Figure | None:
@@ -139,16 +162,16 @@
     fit = duty.fits.get(measure) if duty is not None else None
     if duty is None or fit is None or measure not in MEASURES:
         return None
-    xs, ys = values(duty, measure, fit.source)
+    points = points_of(slopes, name, measure, fit)
+    xs, ys = values(points, measure, fit)
     if not fits("linear", xs, ys):
         return None
     _, slope = line("linear", xs, ys)
     half = _wide(len(xs) - 2) * _error("linear", xs, ys) / math.sqrt(_spread(xs))
     _, unit, factor = MEASURES[measure]
     low, mid, high = (max(0.0, value) * x * factor for value in (slope - half, slope, slope + half))
-    points = _points(duty, measure, fit.source)
     size = max(p.members for p in points)
-    origin = _origin(slopes, name, "slope", points, f"; {size} members" if size else "")
+    origin = _origin(slopes, name, f"{fit.source}, slope", points, f"; {size} members" if size else "")
     return Figure(mid, low, high, unit, (origin,), beyond=bool(size) and members > size * 1.001)
 
 
--- a/fawngw/lab/capacity/page.py
+++ b/fawngw/lab/capacity/page.py
@@ -91,8 +91,8 @@
     found = []
     for name, duty in (read.slopes.duties if read.slopes else {}).items():
         for measure, fit in duty.fits.items():
-            if not fit.linear or fit.form != "linear":
-                found.append(f"{name}, {records.MEASURES.get(measure, (measure,))[0]} ({fit.form})")
+            if measure in records.MEASURES and (not fit.linear or fit.form != "linear"):
+                found.append(f"{name}, {records.MEASURES[measure][0]} ({fit.form})")
     return "; ".join(found)
 
 
--- a/fawngw/lab/capacity/records.py
+++ b/fawngw/lab/capacity/records.py
@@ -49,6 +49,7 @@
     form: str = "linear"
     linear: bool = True
     source: str = "hollow"
+    moved_by: float = 0.0  # added to the points of hollow nodes, to come to where real ones lie
     residuals: list[float] = field(default_factory=list)
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -249,7 +249,7 @@
     assert cells(text, "a burst of small")[1] == "230 kB"
     zone = cells(text, "a zone")
     assert zone[1:6] == ["3 a year", "113", "12,345", "6.54 kB", "7.70 s"] and re.search(r"R\d", zone[-1])
-    assert "a zone, as played: nothing at all" in text
+    assert "As played: a zone: nothing at all." in text
     assert cells(text, "a machine")[3] == "not measured" and cells(text, "a machine")[5] == "8.30 s"
     hop = cells(text, "1 node in a row, 10 servers, open")
     assert hop[1:5] == ["0.250 ms", "0.750 ms", "300 us", "1.22%"]
--- a/tests/test_capacity_parts.py
+++ b/tests/test_capacity_parts.py
@@ -138,6 +138,46 @@
     )
 
 
+def test_points_of_two_kinds_are_told_as_the_record_names_them(docs: Path) -> None:
+    record = slopes()
+    member = record["duties"]["membership"]
+    for x in (24.0, 24.0, 50.0):
+        measure = {"core_ms_per_s": 3.0 + 0.001 * x}
+        member["points"].append({"x": x, "source": "real", "seconds": 5.0, "measure": measure})
+    joined = duty("member", (200, 790, 1580), {"core_ms_per_s": (3.0, 0.001)})
+    for point in joined["points"]:
+        point["source"] = "real"
+    record["duties"]["joined"] = joined | {"fits": {}}
+    just = {
+        "intercept": [3.0, 3.0, 3.0],
+        "slope": [0.001, 0.001, 0.001],
+        "source": "real, from 200 on just joined",
+    }
+    member["fits"]["core_ms_per_s"] = just
+    moved = member["fits"]["memory_bytes"] | {"source": "hollow, moved to real at 24", "moved_by": 5e6}
+    moved["intercept"] = [6e6, 6e6, 6e6]
+    member["fits"]["memory_bytes"] = moved
+    apart = {
+        "x": 24,
+        "measure": "memory_bytes",
+        "hollow": [1e6, 9e5, 1.1e6],
+        "real": [6e6, 5e6, 7e6],
+        "agree": False,
+    }
+    member["agreement"] = [apart]
+    read = read_slopes(record)
+    core, memory = (lines.at(read, "membership", m, 790.0) for m in ("core_ms_per_s", "memory_bytes"))
+    assert core is not None and core.mid == pytest.approx(0.379, rel=0.01)
+    assert "real, from 200 on just joined, linear, 6 points from 24 to 1580" in core.origins[0].about
+    assert memory is not None and memory.mid == pytest.approx(6.79e6, rel=0.01)
+    assert memory.high - memory.mid > 1e6  # as wide as the moving at the least
+    keep(docs, "slopes", record)
+    assert backing.unbacked(records.read(docs / "capacity")) == []
+    member["fits"]["memory_bytes"] = moved | {"moved_by": 4e6}
+    keep(docs, "slopes", record)
+    assert "is not what its points give" in backing.unbacked(records.read(docs / "capacity"))[0]
+
+
 def test_what_was_measured_at_one_x_is_told_by_its_mean() -> None:
     record = slopes()
     idle = record["duties"]["idle"] | {"unit": "process", "fits": {}}
@@ -269,6 +309,7 @@
     assert [o.kind for o in member.origins] == ["measured"]
     assert costs["configuration"].bytes is not None and costs["configuration"].bytes.mid == 111.0
     whole, _ = ranking.node_total(made)
+    assert [part.unit for part in whole.parts() if part is not None] == ["/s", "%", "B", "B/s"]
     assert whole.bytes is not None
     assert whole.bytes.mid == pytest.approx(sum(c.bytes.mid for c in costs.values() if c.bytes is not None))
     assert tables.lacking(made.node()) == [True, True, True, True]
