--- a/fawngw/lab/feedsim.py
+++ b/fawngw/lab/feedsim.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import datetime
 import gc
 import json
 import random
@@ -23,7 +22,6 @@
 from fawngw.lab.feedledger import Publishing
 from fawngw.lab.feednet import Weather
 from fawngw.lab.feedworld import World
-from fawngw.lab.scale.record import revision
 
 ZONES = (("east", ("e1", "e2", "e3", "e4")), ("west", ("w1", "w2", "w3")))
 SERVICES = 76
@@ -350,12 +348,10 @@
 
 
 def put_into(path: Path, run: dict[str, Any]) -> None:
-    """Put a run with revision and date into a record, in place of one of equal case, size, seed and source.
+    """Put a run into a record, in place of one of the same case, size, seed and source.
 
     FeedError where there is a file that is no record.
     """
-    now = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
-    run = {"revision": revision(), "at": now, **run}
     record = read_record(path) if path.exists() else {"schema": 1, "runs": []}
     runs = [old for old in record.pop("runs") if _key(old) != _key(run)]
     lines = ",\n".join(json.dumps(one, sort_keys=True) for one in sorted([*runs, run], key=_key))
