--- a/fawngw/lab/capacity/demand.py
+++ b/fawngw/lab/capacity/demand.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from importlib.util import find_spec
 
+from fawngw.feed.model import scopes_of
 from fawngw.lab.capacity.figures import Figure, Origin, total
 from fawngw.lab.capacity.lines import at, rise
 from fawngw.lab.capacity.records import FeedRun, RecordError, Records
@@ -73,6 +74,10 @@
         """A constant of the program; name: module and constant."""
         return Figure(value, value, value, unit, (Origin("code", name, "a constant of the program"),))
 
+    def _scopes(self) -> Figure:
+        """How many scopes have documents for one node."""
+        return self.coded(len(scopes_of("r", "s", "n")), "fawngw.feed.model.scopes_of")
+
     # -------------------------------------------------------- sizes
 
     def servers(self, times: float = 1.0) -> Figure:
@@ -239,7 +244,7 @@
             moved = changed.plus(beats.times(self.assumed("beat_bytes"), "B/s"))
         memory = cost.memory
         if memory is None:  # the documents of the node's own scopes, in force and the one before
-            memory = self.assumed("scopes_of_a_node").times(self.held_each(), "B")
+            memory = self._scopes().times(self.held_each(), "B")
         messages = cost.messages
         if messages is None:
             taken = self.changes(times).times(self.reach(times))
@@ -289,6 +294,6 @@
         )
         if cost.bytes is None:
             whole = self.seen(times).times(self.assumed("list_entry_bytes"))
-            documents = self.assumed("scopes_of_a_node").times(self.assumed("document_bytes"))
+            documents = self._scopes().times(self.assumed("document_bytes"))
             cost = replace(cost, bytes=own.times(whole.plus(documents), "B/s"))
         return cost
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -201,7 +201,7 @@
     assert "assumed.toml: no figure uses of_no_use" in page.check(docs, load())
     for wrong, told in (
         (re.sub(r'(\[part_node\][^[]*source = )"[^"]*"', r'\g<1>""', whole), "part_node.source: is missing"),
-        (whole.replace("value = 4.0", 'value = "four"'), "value: a number"),
+        (whole.replace("value = 20000.0", 'value = "many"'), "value: a number"),
         (whole.replace("[part_node]", "[part_nodes]"), "part_node is missing"),
         ("[", "assumed.toml"),
     ):
