--- a/fawngw/feed/config.py
+++ b/fawngw/feed/config.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from fawngw.feed.model import FeedError, Interest, Server, Tuning, split_scope
-from fawngw.tables import Table, TableError, read_file
+from fawngw.tables import Table, TableError, numbers, read_file
 
 ROLES = ("node", "relay", "publisher")
 SNAPSHOT_BYTES = 4 << 20
@@ -77,7 +77,7 @@
         publishers=table.mapping("publishers"),
         sample=table.text("sample"),
         snapshot_bytes=int(table.number("snapshot_bytes", SNAPSHOT_BYTES, 10_000.0, 1e9)),
-        tuning=_tuning(table.get("tuning") or {}),
+        tuning=Tuning(**numbers("feed.tuning", table.get("tuning") or {}, Tuning)),
     )
     for key in ("name", "region", "service"):
         value = getattr(config, key)
@@ -130,19 +130,3 @@
         split_scope(f"node/{name}")
     except FeedError:
         raise FeedError(f"{key}: letters, digits and ._- only, not {name!r}") from None
-
-
-def _tuning(raw: object) -> Tuning:
-    known = {f.name: f.type for f in fields(Tuning)}
-    table = Table("feed.tuning", raw, known)
-    values: dict[str, Any] = {}
-    for key in known:
-        if key not in table:
-            continue
-        number = table.number(key, 0.0, 1e-3, 1e9)
-        if known[key] == "int":
-            if number != int(number):
-                raise FeedError(f"feed.tuning.{key}: a whole number, not {table.get(key)!r}")
-            number = int(number)
-        values[key] = number
-    return Tuning(**values)
--- a/fawngw/members/config.py
+++ b/fawngw/members/config.py
@@ -7,7 +7,7 @@
 
 from fawngw.members.model import MemberError, Profile, Tuning, split_address
 from fawngw.members.presence import LEAST_PART, SETTLE_MS
-from fawngw.tables import Table, TableError, read_file
+from fawngw.tables import Table, TableError, numbers, read_file
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +50,7 @@
         settle_ms=table.number("settle_ms", SETTLE_MS, 0.0, 3_600_000.0),
         least_part=table.number("least_part", LEAST_PART, 0.0, 1.0),
         facts=dict(table.mapping("facts")),
-        tuning=_tuning(table.get("tuning") or {}),
+        tuning=Tuning(**numbers("members.tuning", table.get("tuning") or {}, Tuning)),
     )
     for key, address in (("listen", config.listen), *(("join", a) for a in config.join)):
         _address(f"members.{key}", address)
@@ -65,19 +65,3 @@
         split_address(text)
     except MemberError as error:
         raise MemberError(f"{key}: {error}") from None
-
-
-def _tuning(raw: object) -> Tuning:
-    known = {f.name: f.type for f in fields(Tuning)}
-    table = Table("members.tuning", raw, known)
-    values: dict[str, Any] = {}
-    for key in known:
-        if key not in table:
-            continue
-        number = table.number(key, 0.0, 1e-3, 1e9)
-        if known[key] == "int":
-            if number != int(number):
-                raise MemberError(f"members.tuning.{key}: a whole number, not {table.get(key)!r}")
-            number = int(number)
-        values[key] = number
-    return Tuning(**values)
--- a/fawngw/tables.py
+++ b/fawngw/tables.py
@@ -4,6 +4,7 @@
 
 import tomllib
 from collections.abc import Collection, Mapping
+from dataclasses import fields
 from pathlib import Path
 from typing import Any
 
@@ -81,3 +82,23 @@
         if not isinstance(value, dict) or not all(isinstance(v, str) for v in value.values()):
             raise TableError(f"{self.name}.{key}: a table of texts")
         return value
+
+
+def numbers(name: str, raw: object, kind: type) -> dict[str, Any]:
+    """The numbers that a table sets of a dataclass whose fields are all int or float, above 0 and to 1e9.
+
+    name: the table's; TableError for a key that is no field, and for a part of one where a field is whole.
+    """
+    known = {f.name: f.type for f in fields(kind)}
+    table = Table(name, raw, known)
+    values: dict[str, Any] = {}
+    for key in known:
+        if key not in table:
+            continue
+        number = table.number(key, 0.0, 1e-3, 1e9)
+        if known[key] == "int":
+            if number != int(number):
+                raise TableError(f"{name}.{key}: a whole number, not {table.get(key)!r}")
+            number = int(number)
+        values[key] = number
+    return values
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -27,7 +27,7 @@
     tell,
     world,
 )
-from tests.test_crossings import HeldDials, Told, limits
+from tests.test_crossings import HeldDials, Told, limits, twice
 
 NEVER_S = 10 * PATIENCE_S
 PAST_DEADLINE_S = 5.0  # but less than an idle connection is trusted for
@@ -61,6 +61,13 @@
     return [got.target for got in server.received]
 
 
+async def then_break(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
+    """Answer, and break the connection once told to."""
+    await reply("200 OK")(server, received, writer)
+    await server.release.wait()
+    writer.transport.abort()
+
+
 async def until(condition: object) -> None:
     async def wait() -> None:
         assert callable(condition)
@@ -154,13 +161,8 @@
     """Guards against a call on it that meets what the first answer still brings."""
     monkeypatch.setattr("fawngw.node.servers.REUSE_DELAY_S", NEVER_S)
 
-    async def stray(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
-        await reply("200 OK", b"right")(server, received, writer)
-        await server.release.wait()
-        await reply("200 OK", b"stray")(server, received, writer)
-
     async def main() -> None:
-        async with pair(stray, reply("200 OK", b"own")) as (server, w):
+        async with pair(twice, reply("200 OK", b"own")) as (server, w):
             caller = await ask_first(w, FAST_S)
             w.age(1.0)
             (resting,) = the_peer(w).idle
@@ -183,13 +185,8 @@
     """The dial beside it goes on, and carries the call."""
     monkeypatch.setattr("fawngw.node.servers.REUSE_DELAY_S", NEVER_S)
 
-    async def stray(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
-        await reply("200 OK", b"right")(server, received, writer)
-        await server.release.wait()
-        await reply("200 OK", b"stray")(server, received, writer)
-
     async def main() -> None:
-        async with pair(stray, reply("200 OK", b"own")) as (server, w):
+        async with pair(twice, reply("200 OK", b"own")) as (server, w):
             caller = await ask_first(w, FAST_S)
             (resting,) = the_peer(w).idle
             dials = HeldDials(w)
@@ -210,13 +207,8 @@
 ) -> None:
     monkeypatch.setattr("fawngw.node.servers.REUSE_DELAY_S", NEVER_S)
 
-    async def last(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
-        await reply("200 OK")(server, received, writer)
-        await server.release.wait()
-        writer.transport.abort()
-
     async def main() -> None:
-        async with pair(last, reply("200 OK", b"own")) as (server, w):
+        async with pair(then_break, reply("200 OK", b"own")) as (server, w):
             caller = await ask_first(w, SLOW_S)
             caller.writer.write(request("book"))
             await until(lambda: w.node._requests)
@@ -244,13 +236,8 @@
     """The connection that rests breaks, and the dial beside it fails: nothing was sent."""
     monkeypatch.setattr("fawngw.node.servers.REUSE_DELAY_S", NEVER_S)
 
-    async def last(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
-        await reply("200 OK")(server, received, writer)
-        await server.release.wait()
-        writer.transport.abort()
-
     async def main() -> None:
-        async with pair(last) as (server, w):
+        async with pair(then_break) as (server, w):
             caller = await ask_first(w, FAST_S)
             (resting,) = the_peer(w).idle
             dials, told = HeldDials(w), Told(w)
