--- a/fawngw/lab/powerloss/play.py
+++ b/fawngw/lab/powerloss/play.py
@@ -9,7 +9,7 @@
 import errno
 import hashlib
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
@@ -66,6 +66,23 @@
     """The first breach, where one is enough."""
 
 
+def do_jobs(disk: TraceDisk, store: Store, done: Callable[[], None]) -> Iterator[None]:
+    """Do all that a store hands out, a step at a time; done is called once it knows how a job has ended."""
+    while (job := store.take(1e6)) is not None:
+        filled, error = 0, None
+        for operation in job.operations:
+            try:
+                for step in disk.steps(operation):
+                    filled += disk.perform(step)
+                    yield
+            except OSError as failed:
+                error = str(failed)
+                break
+        store.done(job.number, error, filled)
+        done()
+        yield
+
+
 class Run:
     """One workload from one seed."""
 
@@ -102,19 +119,10 @@
             yield from self._jobs(disk, store)
 
     def _jobs(self, disk: TraceDisk, store: Store) -> Iterator[None]:
-        while (job := store.take(1e6)) is not None:
-            filled, error = 0, None
-            for operation in job.operations:
-                try:
-                    for step in disk.steps(operation):
-                        filled += disk.perform(step)
-                        yield
-                except OSError as failed:
-                    error = str(failed)
-                    break
-            store.done(job.number, error, filled)
+        def done() -> None:
             self.kept = store.kept
-            yield
+
+        return do_jobs(disk, store, done)
 
     # ------------------------------------------------------------ what must hold
 
--- a/tests/test_feed_ledger.py
+++ b/tests/test_feed_ledger.py
@@ -15,6 +15,7 @@
 from fawngw.feed.model import Document, FeedError, Tuning, make_document
 from fawngw.feed.table import Table
 from fawngw.lab.powerloss.disk import TraceDisk
+from fawngw.lab.powerloss.play import do_jobs
 from fawngw.node.overlays import checker
 from fawngw.store.core import Pace, Store
 from fawngw.store.model import Durability, Found
@@ -270,22 +271,14 @@
                 pending.append((store.append(record, Durability.ACKNOWLEDGED, 0.0), document))
             if number % 3 == 2:
                 store.snapshot(book.snapshot())
-            while (job := store.take(1e6)) is not None:
-                error, filled = None, 0
-                for operation in job.operations:
-                    try:
-                        for step in disk.steps(operation):
-                            filled += disk.perform(step)
-                            yield
-                    except OSError as failed:
-                        error = str(failed)
-                        break
-                store.done(job.number, error, filled)
+
+            def kept(pending: list[tuple[int, Document]] = pending) -> None:
                 for sequence, document in pending:
                     if sequence <= store.kept:
                         self.acknowledged[document.head.scope] = document
                         self.table.put(document)
-                yield
+
+            yield from do_jobs(disk, store, kept)
 
     def check(self, disk: TraceDisk) -> None:
         """What a new process finds: all that was acknowledged, nothing half, and no version free again."""
