Review: a script that is ended early ends its node as well

Cause: SIGTERM ended a script without its clean-up, and the node went on running (seen with review/3).

--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -409,12 +409,17 @@
     record = Record(folder)
 
     async def bounded() -> int:
+        # A script that is ended early still ends its processes: the signal cancels the case.
+        playing = asyncio.current_task()
+        assert playing is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         async with asyncio.timeout(CASE_TIMEOUT_S):
             return await case(record)
 
     try:
         result = asyncio.run(bounded())
-    except (CaseError, OSError, TimeoutError) as error:
+    except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {error!r}")
         result = COULD_NOT_RUN
     record.write({HELD: "the rule held", BROKEN: "the rule was broken"}.get(result, "not run"))
