Read in turns and pass on the chunks of a read as one, so that none holds up a node

Cause: each chunk was rendered, written and followed by all flow control alone, about 10 us for 64 bytes, and nothing bounded the work of one iteration of the event loop: a read takes up to 256 KiB, and libuv reads up to 32 times in a row. Evidence: four answers of 2 MB in chunks of 64 bytes gave up to 59,129 parsed parts in one iteration, uploads 53,364; in chunks of one byte the other requests of the test were lost. Ruled out: the write buffer's flow control (the client reads fast, it never pauses), and the case itself (its own event loop is late by 2 ms at most).

Change: the parser delivers the parts of one read as one; ReadScheduler gives turns to connections that cause much work or fill the read buffer, and limits the work of an iteration, counted in parsed parts; a read has 64 KiB, into one shared buffer, so a stream holds 128 KiB in place of 320. A buffered body is kept as bytes, no more as a list of chunks.

--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -14,6 +14,7 @@
 from crowpost.node.http.body import Upload
 from crowpost.node.http.message import EXPECT, TRANSFER_ENCODING, Message, MessageError
 from crowpost.node.http.parser import MessageParser
+from crowpost.node.reading import ConnectionReader
 
 if TYPE_CHECKING:
     from crowpost.node.downstream.interfaces import ConnectionListener
@@ -38,6 +39,7 @@
         """Register the new connection."""
         # uvloop's transports are not subclasses of asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
+        self._reader = ConnectionReader(self._transport, self.listener.reads)
         now = self.listener.now()
         self.opened_at = now
         self.state_since = now
@@ -63,7 +65,17 @@
         else:
             self.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002  asyncio's signature
+        """Return the buffer of the next read."""
+        return self.listener.reads.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that were read."""
+        self.receive(self.listener.reads.buffer[:nbytes])
+        if self._reader is not None:
+            self._reader.finish_read(nbytes, self._parser.parts)
+
+    def receive(self, data: bytes | memoryview) -> None:
         """Parse received bytes."""
         self._received_at = self.listener.now()
         if self._discarding or self._malformed:
@@ -322,12 +334,8 @@
 
     def _update_reading(self) -> None:
         """Pause reading only while a streamed body has to wait: only reading shows a client's disconnect."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        if self._upload_paused and not self._discarding and not self._malformed:
-            self._transport.pause_reading()
-        elif not self._transport.is_reading():
-            self._transport.resume_reading()
+        if self._reader is not None:
+            self._reader.set_paused(self._upload_paused and not self._discarding and not self._malformed)
 
 
 def _check_expectation(message: Message) -> None:
--- a/crowpost/node/downstream/connection_status.py
+++ b/crowpost/node/downstream/connection_status.py
@@ -11,12 +11,13 @@
 from crowpost.node.downstream.sockets import peer_has_closed
 from crowpost.node.http.body import Upload
 from crowpost.node.http.parser import MessageParser
+from crowpost.node.reading import ConnectionReader
 
 if TYPE_CHECKING:
     from crowpost.node.downstream.interfaces import ExchangeListener
 
 
-class ConnectionStatus(asyncio.Protocol):
+class ConnectionStatus(asyncio.BufferedProtocol):
     """The state of one client connection, with queries only: ClientConnection changes it.
 
     Times are in seconds, of the listener's clock.
@@ -36,6 +37,7 @@
         # Bytes of the budget that are reserved for streamed responses until they have been sent.
         self.reserved_bytes = 0
         self._transport: asyncio.Transport | None = None
+        self._reader: ConnectionReader | None = None
         self._exchanges: deque[Exchange] = deque()
         # Whether input is discarded because the last response has been written.
         self._discarding = False
--- a/crowpost/node/downstream/exchange.py
+++ b/crowpost/node/downstream/exchange.py
@@ -8,12 +8,13 @@
 from crowpost.node.http.body import Upload
 from crowpost.node.http.message import Message
 from crowpost.node.http.rendering import render_chunk, render_response, render_response_head
+from crowpost.node.reading import READ_BYTES
 
 if TYPE_CHECKING:
     from crowpost.node.downstream.interfaces import ExchangeConnection
 
 # The most bytes that a streamed body holds in memory: the write buffer's high-water mark, and one more read.
-STREAM_BUFFER_BYTES = 64 * 1024 + 256 * 1024
+STREAM_BUFFER_BYTES = 64 * 1024 + READ_BYTES
 
 
 class Exchange:
--- a/crowpost/node/downstream/interfaces.py
+++ b/crowpost/node/downstream/interfaces.py
@@ -12,6 +12,7 @@
 from crowpost.node.http.body import ByteBudget
 from crowpost.node.http.message import Message
 from crowpost.node.metrics import Metrics
+from crowpost.node.reading import ReadScheduler
 
 
 class ExchangeListener(Protocol):
@@ -59,6 +60,8 @@
 class ConnectionListener(ExchangeListener, Protocol):
     """The part of the listener that a client connection uses."""
 
+    reads: ReadScheduler
+
     def opened(self, connection: ClientConnection) -> None:
         """Register an accepted connection."""
 
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -15,6 +15,7 @@
 from crowpost.node.http.body import ByteBudget
 from crowpost.node.http.message import Message, MessageError
 from crowpost.node.metrics import Metrics
+from crowpost.node.reading import ReadScheduler
 
 log = logging.getLogger(__name__)
 
@@ -26,7 +27,8 @@
 class Listener:
     """The listening socket and all client connections.
 
-    on_request: starts handling a valid request; ready: returns whether the node accepts new clients.
+    on_request: starts handling a valid request; ready: returns whether the node accepts new clients; reads:
+    schedules the reads of all connections of the node.
     """
 
     def __init__(
@@ -37,7 +39,9 @@
         metrics: Metrics,
         max_connections: int,
         max_body_bytes: int,
+        reads: ReadScheduler,
     ) -> None:
+        self.reads = reads
         # Whether every response closes its connection.
         self.closing = False
         self.metrics = metrics
--- a/crowpost/node/http/parser.py
+++ b/crowpost/node/http/parser.py
@@ -24,6 +24,7 @@
     """The callbacks of a parser.
 
     A message with a short body is delivered as a whole, one with a long body as a stream: start, data, end.
+    The parts of a long body that arrive in one read are delivered as one, however small its chunks are.
     """
 
     def on_head(self, message: Message) -> None:
@@ -51,18 +52,20 @@
     """
 
     __slots__ = (
-        "_body",
+        "_buffered",
         "_failure",
         "_head_bytes",
         "_head_bytes_left",
         "_in_body",
         "_message",
         "_parser",
+        "_parts",
         "_receiver",
         "_stopped",
         "_stream_immediately",
         "_streaming",
         "body_size",
+        "parts",
     )
 
     def __init__(self, receiver: MessageReceiver, *, requests: bool) -> None:
@@ -79,9 +82,14 @@
         self._stream_immediately = False
         self._streaming = False
         self._message: Message | None = None
-        self._body: list[bytes] = []
+        # The parts of the current body from the current call of `feed`.
+        self._parts: list[bytes] = []
+        # The part of the current body from earlier calls, unless it is streamed.
+        self._buffered = bytearray()
         # Bytes of the current body that have been received.
         self.body_size = 0
+        # Messages, headers and parts of bodies in the last call of `feed`, which measure its work.
+        self.parts = 0
 
     @property
     def in_message(self) -> bool:
@@ -99,8 +107,15 @@
         message = self._message
         return self.in_body and not self._streaming and message is not None and message.content_length is None
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse bytes; raise MessageError if the message is malformed, too large or unsupported."""
+        self.parts = 0
+        try:
+            self._feed(data)
+        finally:
+            self._deliver_parts()
+
+    def _feed(self, data: bytes | memoryview) -> None:
         if not self._in_body:
             self._head_bytes_left -= len(data)
         try:
@@ -130,8 +145,7 @@
     def start_streaming(self) -> None:
         """Stop buffering the body, and deliver the part received so far as the start of a stream."""
         if self._message is not None and not self._streaming:
-            self._message.body = b"".join(self._body)
-            self._body.clear()
+            self._message.body = self._take_body()
             self._streaming = True
             self._receiver.on_stream_start(self._message)
 
@@ -140,8 +154,9 @@
         if self._stopped:
             # The exception ends httptools' parsing; `feed` ignores it after `stop`.
             raise MessageError(400, "no further message is parsed")
+        self.parts += 1
         self._message = Message()
-        self._body.clear()
+        self._discard_body()
         self.body_size = 0
         self._head_bytes = 0
         self._streaming = False
@@ -156,6 +171,7 @@
         """Collect one header; trailers are ignored."""
         if self._message is None:
             return
+        self.parts += 1
         self._count_head_bytes(len(name) + len(value))
         if self._in_body:
             return  # a trailer arrives after the head has been handled, so it is ignored
@@ -192,22 +208,20 @@
             self._receiver.on_head(message)
 
     def on_body(self, part: bytes) -> None:
-        """Buffer a part of a body, or deliver it if the body is streamed."""
+        """Collect a part of a body."""
         if self._failure is not None:
             return
+        self.parts += 1
         self.body_size += len(part)
-        if self._streaming:
-            self._receiver.on_stream_data(part)
-            return
-        self._body.append(part)
-        if self._stream_immediately or self.body_size > MAX_BODY:
-            self.start_streaming()
+        self._parts.append(part)
 
     def on_message_complete(self) -> None:
         """End a message and deliver it."""
         message = self._message
         if message is None or self._failure is not None:
             return
+        if self._is_streamed():
+            self._deliver_parts()
         self._message = None
         self._in_body = False
         self._head_bytes_left = MAX_HEAD
@@ -215,12 +229,40 @@
         if self._streaming:
             self._receiver.on_stream_end(message)
             return
-        message.body = b"".join(self._body)
-        self._body.clear()
+        message.body = self._take_body()
         # Interim responses are skipped.
         if not 100 <= message.status < 200:
             self._receiver.on_message(message)
 
+    def _is_streamed(self) -> bool:
+        """Return whether the body is delivered as a stream."""
+        return self._streaming or self._stream_immediately or self.body_size > MAX_BODY
+
+    def _deliver_parts(self) -> None:
+        """Deliver the collected parts of a body as one if it is streamed, else buffer them."""
+        if not self._parts:
+            return
+        if self._streaming:
+            self._receiver.on_stream_data(self._take_body())
+        elif self._is_streamed():
+            self.start_streaming()
+        else:
+            self._buffered += b"".join(self._parts)
+            self._parts.clear()
+
+    def _take_body(self) -> bytes:
+        """Return the buffered bytes and the collected parts of the body, and forget them."""
+        if self._buffered:
+            self._parts.insert(0, bytes(self._buffered))
+        body = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        self._discard_body()
+        return body
+
+    def _discard_body(self) -> None:
+        self._parts.clear()
+        if self._buffered:
+            self._buffered = bytearray()
+
     def _count_head_bytes(self, size: int) -> None:
         """Limit the size of a head before it is delivered, even if it arrives in a single read."""
         self._head_bytes += size
@@ -230,4 +272,4 @@
     def _fail(self, status: int, text: str) -> None:
         if self._failure is None:
             self._failure = MessageError(status, text)
-        self._body.clear()
+        self._discard_body()
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -28,6 +28,7 @@
 from crowpost.node.drain import Drain, Phase
 from crowpost.node.event_queue import EventQueue
 from crowpost.node.metrics import Metrics
+from crowpost.node.reading import ReadScheduler
 from crowpost.node.request_table import RequestTable
 from crowpost.node.upstream.pool import ConnectionPool
 
@@ -86,11 +87,13 @@
         self._balancer = self._make_balancer()
         host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
         health_check = b"GET /health HTTP/1.1\r\nHost: %s\r\n\r\n" % host
+        reads = ReadScheduler()
         self._pool = ConnectionPool(
             connect_timeout_s=config.settings.connect_timeout_ms / 1000.0,
             idle_timeout_s=config.conn_idle_ms / 1000.0,
             max_connections=int(ENDPOINT_SOCKET_FRACTION * sockets),
             probe_request=health_check if config.settings.may_check_health else None,
+            reads=reads,
         )
         self._requests = RequestTable(config.settings, self._clock, self._events, host)
         self._listener = Listener(
@@ -100,6 +103,7 @@
             self._metrics,
             max_connections=int(CLIENT_SOCKET_FRACTION * sockets),
             max_body_bytes=body_bytes,
+            reads=reads,
         )
         self._drain = Drain(
             self._listener,
--- /dev/null
+++ b/crowpost/node/reading.py
@@ -0,0 +1,104 @@
+"""Reading from connections in turns, so that peers with much input do not hold up the others.
+
+A peer can send input faster than it is processed, and in pieces of a byte.  A connection that has caused much
+work, or has more input waiting, is therefore not read from again until its next turn, and the work of all
+turns in one iteration of the event loop is limited.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+# The most bytes of one read.
+READ_BYTES = 64 * 1024
+# Work is counted in parsed parts (a piece of a body, a header, a message), of about a microsecond each.
+# The work of passing on this many bytes is counted as one part.
+BYTES_PER_PART = 1024
+# A read that caused more work than this ends the turn of its connection.
+MAX_PARTS_PER_READ = 256
+# The most work that waiting connections may cause in one iteration of the event loop, as far as their last
+# reads predict it.
+MAX_PARTS_PER_ITERATION = 4096
+
+
+class ReadScheduler:
+    """Gives turns to connections with much input, in the order in which they asked for one.
+
+    loop: the event loop; None for the running one.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop | None = None) -> None:
+        # Received bytes; shared, since each read is processed before the next one.
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self._loop = loop or asyncio.get_running_loop()
+        self._waiting: deque[ConnectionReader] = deque()
+
+    def add(self, reader: ConnectionReader) -> None:
+        """Give the reader a turn in a later iteration of the event loop."""
+        if not self._waiting:
+            self._loop.call_soon(self._give_turns)
+        self._waiting.append(reader)
+
+    def _give_turns(self) -> None:
+        parts = 0
+        for _ in range(len(self._waiting)):
+            if parts and parts + self._waiting[0].last_parts > MAX_PARTS_PER_ITERATION:
+                break
+            reader = self._waiting.popleft()
+            parts += reader.last_parts
+            reader.begin_turn()
+        if self._waiting:
+            self._loop.call_soon(self._give_turns)
+
+
+class ConnectionReader:
+    """Reads from a transport while neither flow control nor the scheduler has paused it."""
+
+    __slots__ = ("_awaits_turn", "_paused", "_scheduler", "_transport", "last_parts")
+
+    def __init__(self, transport: asyncio.Transport, scheduler: ReadScheduler) -> None:
+        self._transport = transport
+        self._scheduler = scheduler
+        self._paused = False
+        self._awaits_turn = False
+        # The work that the last read caused.
+        self.last_parts = 0
+
+    @property
+    def paused(self) -> bool:
+        """Whether flow control has paused reading."""
+        return self._paused
+
+    def set_paused(self, paused: bool) -> None:
+        """Pause or resume reading for flow control."""
+        self._paused = paused
+        self._update()
+
+    def finish_read(self, size: int, parts: int) -> None:
+        """End the turn of the connection after a read that caused much work or left input waiting.
+
+        size: the bytes that were read; parts: the parsed parts.
+        """
+        self.last_parts = parts + size // BYTES_PER_PART
+        if self._awaits_turn or (size < READ_BYTES and self.last_parts <= MAX_PARTS_PER_READ):
+            return
+        self._awaits_turn = True
+        self._scheduler.add(self)
+        self._update()
+
+    def begin_turn(self) -> None:
+        """Read again, unless flow control has paused reading."""
+        self._awaits_turn = False
+        self._update()
+
+    def _update(self) -> None:
+        if self._transport.is_closing():
+            return
+        reading = not self._paused and not self._awaits_turn
+        if reading is self._transport.is_reading():
+            return
+        if reading:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
--- a/crowpost/node/upstream/connection.py
+++ b/crowpost/node/upstream/connection.py
@@ -12,6 +12,7 @@
 from crowpost.node.http.message import NOT_RUN, Message, MessageError
 from crowpost.node.http.parser import MessageParser
 from crowpost.node.http.rendering import render_chunk
+from crowpost.node.reading import ConnectionReader
 from crowpost.node.upstream.call import Call
 from crowpost.node.upstream.endpoint import EndpointConnections
 
@@ -29,7 +30,7 @@
 STREAM_BUFFER_DELAY_S = 0.25
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection to an endpoint, which carries one call at a time.
 
     It is the sink of a long request body and the source of a long response body.
@@ -48,8 +49,8 @@
         self._discard_timer: asyncio.TimerHandle | None = None  # timeout of reading and discarding a response
         self._parser = MessageParser(self, requests=False)
         self._transport: asyncio.Transport | None = None
+        self._reader: ConnectionReader | None = None
         self._sink: BodySink | None = None  # destination of the body of a long response
-        self._reading_paused = False  # whether the client has stopped reading
         self._write_paused = False  # whether the endpoint has stopped reading
         self._on_flushed: Callable[[], None] | None = None  # callback for an empty write buffer
         self._buffer_timer: asyncio.TimerHandle | None = None
@@ -60,6 +61,7 @@
         """Register the new connection with the pool."""
         # The transports of uvloop are not a subclass of asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
+        self._reader = ConnectionReader(self._transport, self._pool.reads)
         self._pool.opened(self)
 
     @property
@@ -139,21 +141,17 @@
 
     def set_reading(self, reading: bool) -> None:
         """Resume or pause reading a long response, at the pace of its client."""
-        if self._transport is None or self._transport.is_closing() or self._reading_paused is not reading:
-            return
-        self._reading_paused = not reading
-        self._progress_at = asyncio.get_running_loop().time()
-        if reading:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
+        if self._reader is not None and self._reader.paused is reading:
+            self._progress_at = asyncio.get_running_loop().time()
+            self._reader.set_paused(not reading)
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the endpoint has let a long body stall for `STREAM_STALL_TIMEOUT_S`."""
         if self._call is None or now - self._progress_at <= STREAM_STALL_TIMEOUT_S:
             return False
         uploading = self._call.upload is not None and not self._call.written
-        return (self._sink is not None and not self._reading_paused) or (uploading and self._write_paused)
+        reading = self._reader is not None and not self._reader.paused
+        return (self._sink is not None and reading) or (uploading and self._write_paused)
 
     def on_head(self, message: Message) -> None:
         """Buffer a response of unknown length for `STREAM_BUFFER_DELAY_S` before it is streamed."""
@@ -223,7 +221,19 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002  asyncio's signature
+        """Return the buffer of the next read."""
+        return self._pool.reads.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that were read."""
+        self.receive(self._pool.reads.buffer[:nbytes])
+        # An idle connection is read at once: unsolicited bytes must be noticed before the next call.
+        in_use = self._call is not None or self._discard_timer is not None
+        if self._reader is not None and in_use:
+            self._reader.finish_read(nbytes, self._parser.parts)
+
+    def receive(self, data: bytes | memoryview) -> None:
         """Parse received bytes."""
         if self._call is None and self._discard_timer is None:
             # No request is in flight: these bytes must not be taken for the response to the next one.
--- a/crowpost/node/upstream/interfaces.py
+++ b/crowpost/node/upstream/interfaces.py
@@ -7,6 +7,7 @@
 
 from typing import Protocol
 
+from crowpost.node.reading import ReadScheduler
 from crowpost.node.upstream.call import Call
 from crowpost.node.upstream.connection import Endpoint, UpstreamConnection
 from crowpost.node.upstream.keep_alive import KeepAlive
@@ -33,6 +34,7 @@
     """The attributes of the pool that a connection uses."""
 
     keep_alive: KeepAlive
+    reads: ReadScheduler
     discarding: set[UpstreamConnection]
 
     def opened(self, connection: UpstreamConnection) -> None:
--- a/crowpost/node/upstream/pool.py
+++ b/crowpost/node/upstream/pool.py
@@ -9,6 +9,7 @@
 from crowpost.decision_api import EndpointId, Outcome, Readiness
 from crowpost.node.discovery.endpoint_list import Listing
 from crowpost.node.http.message import Message
+from crowpost.node.reading import ReadScheduler
 from crowpost.node.upstream.call import Call
 from crowpost.node.upstream.connection import Endpoint, UpstreamConnection
 from crowpost.node.upstream.endpoint import EndpointConnections
@@ -30,7 +31,7 @@
     """All listed endpoints and every open connection to them.
 
     probe_request: a request that shows whether an idle connection still works; None if health checks are not
-    allowed.
+    allowed; reads: schedules the reads of all connections of the node; None for a scheduler of its own.
     """
 
     def __init__(
@@ -40,8 +41,10 @@
         idle_timeout_s: float,
         max_connections: int,
         probe_request: bytes | None = None,
+        reads: ReadScheduler | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
+        self.reads = reads or ReadScheduler()
         self.connect_timeout_s = connect_timeout_s  # timeout of later dials; may be changed at any time
         self._idle_timeout_s = IDLE_TIMEOUT_FRACTION * idle_timeout_s
         self.keep_alive = KeepAlive(self._idle_timeout_s)
--- a/tests/node/test_races.py
+++ b/tests/node/test_races.py
@@ -630,7 +630,7 @@
             assert (await client.ask(target="/ready")).status == 200
             (connection,) = running.node._listener._connections
             close(running)
-            connection.data_received(request("look"))
+            connection.receive(request("look"))
             assert not recorder.events and not running.node._requests.pending
             assert await client.ended()
 
