Reserve the bytes of a response when its request is accepted, so that no answer waits

Cause: a long answer got its 320 KiB of the budget only once it had begun, and waited for them without a limit; uploads held 320 KiB each from their heads on. Ruled out: the endpoint (its whole answer is in the sockets) and the client (reads all the time).

Change: a request reserves its head, its body and 16 KiB for the response when it is accepted, or is rejected before it is sent. Reads are no larger than what is reserved and not held yet, and any unsent byte pauses the source, so 16 KiB carry a body of any length. Up to 80 KiB are taken if there is room. Requests hold at most half of the budget. A reservation is only true if all bytes are counted: bodies and heads that are being received, responses being buffered, unsent output, and a hedged attempt's response count too; responses whose request has its answer keep no body; headers that no code reads are dropped. Upload.attach resumed reading although its server did not read: mended.

--- a/crowpost/node/attempt.py
+++ b/crowpost/node/attempt.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from crowpost.decision_api import AttemptEnded, BodySent, Effect, Outcome, ResponseStarted, Send
+from crowpost.node.byte_budget import Reservation
 from crowpost.node.clock import Clock
 from crowpost.node.event_queue import EventQueue
 from crowpost.node.http.body import BodySink
@@ -57,18 +58,40 @@
         if remaining_ms <= 0.0:
             self.events.post(AttemptEnded(request, number, server, Outcome.NOT_SENT, 0.0, False))
             return
+        response_buffer = self.requests.response_buffer(request, pending)
+        if response_buffer is None:
+            log.info("no memory for one more concurrent attempt of a request")
+            self.events.post(AttemptEnded(request, number, server, Outcome.NOT_SENT, 0.0, False))
+            return
         timeout_ms = min(action.timeout_ms, remaining_ms) if action.timeout_ms > 0 else remaining_ms
-        attempt = Attempt(self, action, pending, number)
+        attempt = Attempt(self, action, pending, number, response_buffer)
         self.requests.calls[request, number] = attempt.start(timeout_ms / 1000.0)
 
 
 class Attempt:
     """One attempt of a request at one endpoint: renders it, starts its call and reports the outcome."""
 
-    __slots__ = ("_action", "_call", "_number", "_pending", "_sender", "_sent_at_ms", "_upload")
+    __slots__ = (
+        "_action",
+        "_call",
+        "_number",
+        "_pending",
+        "_response_buffer",
+        "_sender",
+        "_sent_at_ms",
+        "_upload",
+    )
 
-    def __init__(self, sender: AttemptSender, action: Send, pending: PendingRequest, number: int) -> None:
+    def __init__(
+        self,
+        sender: AttemptSender,
+        action: Send,
+        pending: PendingRequest,
+        number: int,
+        response_buffer: Reservation,
+    ) -> None:
         self._sender = sender
+        self._response_buffer = response_buffer
         self._action = action
         self._pending = pending
         self._number = number
@@ -86,6 +109,7 @@
             on_written=self._on_written,
             on_response_start=self._on_response_start,
             upload=upload,
+            response_buffer=self._response_buffer,
             may_write=self._may_write,
         )
         self._call = call
@@ -123,6 +147,8 @@
         if pending.timer is not None:
             pending.timer.cancel()
         pending.streaming_attempt = self._number
+        self._move_buffer_to_client()
+        pending.message.body = b""  # no other attempt will send it
         pending.time_to_response_ms = elapsed_ms
         pending.exchange.start_response(response, set_reading)
         self._sender.events.post(ResponseStarted(request, self._number, self._action.server, elapsed_ms))
@@ -136,6 +162,10 @@
         requests = self._sender.requests
         requests.calls.pop((request, self._number), None)
         pending = requests.pending.get(request)
+        if pending is not None and outcome is Outcome.OK:
+            self._move_buffer_to_client()
+        elif self._response_buffer is not self._pending.exchange.response_buffer:
+            self._response_buffer.release()
         elapsed_ms = self._sender.clock.now() - self._sent_at_ms
         if pending is not None and pending.streaming_attempt == self._number:
             elapsed_ms = pending.time_to_response_ms
@@ -167,6 +197,15 @@
             )
         )
 
+    def _move_buffer_to_client(self) -> None:
+        """Keep the bytes of the response reserved until the client's connection has sent it."""
+        client_buffer = self._pending.exchange.response_buffer
+        if self._response_buffer is not client_buffer:
+            self._response_buffer.move_to(client_buffer)
+            self._response_buffer = client_buffer
+            assert self._call is not None
+            self._call.response_buffer = client_buffer
+
     def _elapsed_ms(self) -> float:
         return self._sender.clock.now() - self._sent_at_ms
 
--- /dev/null
+++ b/crowpost/node/byte_budget.py
@@ -0,0 +1,85 @@
+"""The byte budget of a node: what all requests and responses in flight may hold in memory at once.
+
+Nothing waits for bytes.  A request reserves what it needs to be carried to its end when it is accepted, or is
+rejected before anything is sent for it; what would only make it faster is reserved if there is room.
+"""
+
+from __future__ import annotations
+
+from crowpost.node.reading import READ_BYTES
+
+# With this many bytes any response can be carried, and any long request body: they hold one read of this size
+# until the other side has taken it.
+MIN_BUFFER_BYTES = 16 * 1024
+# With this many bytes a short body can be buffered as a whole, and a long one is carried at full speed.
+STREAM_BUFFER_BYTES = READ_BYTES + MIN_BUFFER_BYTES
+# The share of the budget for requests: clients that send slowly leave the rest to responses.
+REQUEST_FRACTION = 0.5
+# Bytes that are not needed are reserved only up to this share of a limit: the rest is for new requests.
+OPTIONAL_FRACTION = 0.75
+
+
+class ByteBudget:
+    """The limit on the bytes that all requests and responses in flight may hold, in bytes."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.reserved = 0
+        # The part of `reserved` that requests hold.
+        self.reserved_by_requests = 0
+
+
+class Reservation:
+    """The bytes of a budget that one holder has reserved; none at first."""
+
+    __slots__ = ("_budget", "size")
+
+    def __init__(self, budget: ByteBudget) -> None:
+        self._budget = budget
+        self.size = 0
+
+    def try_resize(self, size: int, *, optional: bool = False) -> bool:
+        """Reserve exactly this many bytes; return whether there was room, otherwise nothing changes.
+
+        optional: whether the holder can do without them.
+        """
+        growth = size - self.size
+        if growth > 0 and not self._has_room(growth, optional=optional):
+            return False
+        self.add(growth)
+        return True
+
+    def release(self) -> None:
+        """Return all bytes to the budget; nothing happens if they were returned before."""
+        self.add(-self.size)
+
+    def move_to(self, other: Reservation) -> None:
+        """Give the bytes to another reservation."""
+        size = self.size
+        self.release()
+        other.add(size)
+
+    def add(self, growth: int) -> None:
+        """Reserve more bytes, or fewer if `growth` is negative, whether or not there is room."""
+        self._budget.reserved += growth
+        self.size += growth
+
+    def _has_room(self, growth: int, *, optional: bool) -> bool:
+        limit = self._budget.limit * (OPTIONAL_FRACTION if optional else 1.0)
+        return self._budget.reserved + growth <= limit
+
+
+class RequestReservation(Reservation):
+    """Bytes of a request: all requests together reserve at most their share of the budget."""
+
+    __slots__ = ()
+
+    def _has_room(self, growth: int, *, optional: bool) -> bool:
+        limit = self._budget.limit * REQUEST_FRACTION * (OPTIONAL_FRACTION if optional else 1.0)
+        in_share = self._budget.reserved_by_requests + growth <= limit
+        return in_share and super()._has_room(growth, optional=optional)
+
+    def add(self, growth: int) -> None:
+        """Reserve more bytes, or fewer if `growth` is negative, whether or not there is room."""
+        self._budget.reserved_by_requests += growth
+        super().add(growth)
--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -7,6 +7,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
+from crowpost.node.byte_budget import MIN_BUFFER_BYTES
 from crowpost.node.downstream import pipeline, timeouts
 from crowpost.node.downstream.connection_status import ConnectionStatus
 from crowpost.node.downstream.exchange import Exchange
@@ -21,6 +22,9 @@
 
 log = logging.getLogger(__name__)
 
+OVERLOAD_RETRY_AFTER_S = 0.5
+OVERLOAD_RETRY_AFTER = b"Retry-After: %.3f\r\n" % OVERLOAD_RETRY_AFTER_S
+
 
 class ClientConnection(ConnectionStatus):
     """A client connection, which writes responses in the order of the requests."""
@@ -39,6 +43,8 @@
         """Register the new connection."""
         # uvloop's transports are not subclasses of asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
+        # Unsent bytes pause the output at once, so that they are never more than was reserved.
+        self._transport.set_write_buffer_limits(0)
         self._reader = ConnectionReader(self._transport, self.listener.reads)
         now = self.listener.now()
         self.opened_at = now
@@ -67,13 +73,33 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002  asyncio's signature
         """Return the buffer of the next read."""
-        return self.listener.reads.buffer
+        return self.listener.reads.buffer[: self._max_read_bytes()]
+
+    def _max_read_bytes(self) -> int:
+        return MIN_BUFFER_BYTES if self._upload is None else self._upload.max_read_bytes
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes that were read."""
+        filled = nbytes == self._max_read_bytes()
         self.receive(self.listener.reads.buffer[:nbytes])
+        self._reserve_input()
         if self._reader is not None:
-            self._reader.finish_read(nbytes, self._parser.parts)
+            self._reader.finish_read(nbytes, self._parser.parts, filled=filled)
+
+    def _reserve_input(self) -> None:
+        """Reserve the bytes of requests that are not handled yet; reject the input if there is no room."""
+        waiting = [exchange.message for exchange in self._exchanges if exchange.message is not None]
+        size = self._parser.held_bytes + sum(message.size for message in waiting)
+        if size == self._input.size or self._input.try_resize(size) or self._discarding or self._malformed:
+            return
+        message = self._parser.message
+        if message is None:
+            # Complete requests that wait are served, and nothing more is read.
+            self._input.add(size - self._input.size)
+            self._reject_further_requests()
+            return
+        self.listener.count_rejection()
+        self._respond_early(503, OVERLOAD_RETRY_AFTER, self.listener.class_index_of(message))
 
     def receive(self, data: bytes | memoryview) -> None:
         """Parse received bytes."""
@@ -198,6 +224,8 @@
             message = exchange.message
             exchange.message = None
             assert message is not None
+            # The exchange reserves the bytes of this message from now on.
+            self._input.release()
             try:
                 self.listener.route(message, exchange)
             except MessageError as error:
@@ -209,14 +237,20 @@
                 # An exception must affect only its own request, which still gets a response.
                 log.exception("fault in a request")
                 exchange.respond(500)
+            self._reserve_input()
         self._routing = False
 
-    def _respond_early(self, status: int) -> None:
-        """Respond to input that is not a valid request, then close."""
+    def _respond_early(self, status: int, extra: bytes = b"", class_index: int | None = None) -> None:
+        """Respond to input that is not accepted as a request, then close.
+
+        extra: complete header lines; class_index: the class of the request, if it is known.
+        """
         self._malformed = True
+        self._parser.drop_body()
         exchange = Exchange(self, True)
+        exchange.class_index = class_index
         self._exchanges.append(exchange)
-        exchange.respond(status)
+        exchange.respond(status, extra=extra)
 
     def flush(self) -> None:
         """Write responses in the order of the requests, up to and including the first incomplete one."""
@@ -231,21 +265,21 @@
                 exchange.update_flow()
                 break
             self._exchanges.popleft()
+            self._unsent.append(exchange.response_buffer)
             if exchange.close_after:
                 self._finish()
                 return
-        self._release_reserved()
+        self._release_sent()
         self._send_continue()
         self._update_reading()
         self._route()
 
-    def _release_reserved(self) -> None:
-        """Release the bytes reserved for streamed responses once little of them is left to send."""
-        if not self.reserved_bytes:
-            return
-        if self._transport is None or (not self._write_paused and not self.is_streaming()):
-            self.listener.budget.release(self.reserved_bytes)
-            self.reserved_bytes = 0
+    def _release_sent(self) -> None:
+        """Release the bytes reserved for complete responses once the kernel has all of them."""
+        if self._transport is None or not self._write_paused:
+            for reservation in self._unsent:
+                reservation.release()
+            self._unsent.clear()
 
     def _finish(self) -> None:
         """Shut down the write side after the last response, and close once the client could read it."""
@@ -253,7 +287,7 @@
         self._discarding = True
         self._parser.stop()
         self._notify_client_gone()
-        self._release_reserved()
+        self._release_sent()
         self._update_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
@@ -304,7 +338,8 @@
         self._transport = None
         self.listener.closed(self)
         self._notify_client_gone()
-        self._release_reserved()
+        self._release_sent()
+        self._input.release()
 
     def _notify_client_gone(self) -> None:
         """Notify the remaining exchanges that their client has disconnected."""
@@ -312,7 +347,7 @@
         self._exchanges = deque()
         for exchange in exchanges:
             exchange.client_gone = True
-            self.listener.release_body(exchange)
+            exchange.release()
             if exchange.on_client_gone is not None and not exchange.response_complete:
                 exchange.on_client_gone()
 
@@ -329,7 +364,7 @@
         self.state_since = self.listener.now()
         if self._exchanges:
             self._exchanges[0].update_flow()
-        self._release_reserved()
+        self._release_sent()
         self._route()
 
     def _update_reading(self) -> None:
--- a/crowpost/node/downstream/connection_status.py
+++ b/crowpost/node/downstream/connection_status.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from crowpost.node.byte_budget import RequestReservation, Reservation
 from crowpost.node.downstream import timeouts
 from crowpost.node.downstream.exchange import Exchange
 from crowpost.node.downstream.sockets import peer_has_closed
@@ -34,8 +35,10 @@
         # When the connection last became idle, began to receive a request, changed between paused and
         # resumed output, or had output written.
         self.state_since = 0.0
-        # Bytes of the budget that are reserved for streamed responses until they have been sent.
-        self.reserved_bytes = 0
+        # The reserved bytes of complete responses that the kernel does not have as a whole yet.
+        self._unsent: list[Reservation] = []
+        # The reserved bytes of requests that are being received, or wait for earlier ones.
+        self._input: Reservation = RequestReservation(listener.budget)
         self._transport: asyncio.Transport | None = None
         self._reader: ConnectionReader | None = None
         self._exchanges: deque[Exchange] = deque()
@@ -44,7 +47,7 @@
         # Whether further input is ignored because some input was malformed or rejected: the bytes after it
         # cannot be taken for a request.
         self._malformed = False
-        # Whether the write buffer is full because the client does not read its responses.
+        # Whether written bytes wait in the write buffer because the client does not read its responses.
         self._write_paused = False
         # The streamed body that is being received.
         self._upload: Upload | None = None
@@ -103,8 +106,8 @@
         if self._discarding:
             return False
         if self._write_paused:
-            streaming = self.reserved_bytes > 0
-            limit_s = timeouts.STREAM_IDLE_TIMEOUT_S if streaming else timeouts.IDLE_TIMEOUT_S
+            responding = bool(self._unsent) or self.is_streaming()
+            limit_s = timeouts.STREAM_IDLE_TIMEOUT_S if responding else timeouts.IDLE_TIMEOUT_S
             return now - self.state_since > limit_s
         if not self._parser.in_message:
             return not self.had_request and now - self.opened_at > timeouts.FIRST_BYTE_TIMEOUT_S
--- a/crowpost/node/downstream/exchange.py
+++ b/crowpost/node/downstream/exchange.py
@@ -5,16 +5,16 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from crowpost.node.byte_budget import MIN_BUFFER_BYTES, RequestReservation, Reservation
 from crowpost.node.http.body import Upload
 from crowpost.node.http.message import Message
 from crowpost.node.http.rendering import render_chunk, render_response, render_response_head
-from crowpost.node.reading import READ_BYTES
 
 if TYPE_CHECKING:
     from crowpost.node.downstream.interfaces import ExchangeConnection
 
-# The most bytes that a streamed body holds in memory: the write buffer's high-water mark, and one more read.
-STREAM_BUFFER_BYTES = 64 * 1024 + READ_BYTES
+# A request's head is kept as it was received, and as it is sent to endpoints.
+HEAD_COPIES = 2
 
 
 class Exchange:
@@ -27,7 +27,6 @@
         "_chunked",
         "_connection",
         "_ends_with_connection",
-        "_has_buffer",
         "_set_reading",
         "arrived_at",
         "class_index",
@@ -36,7 +35,8 @@
         "message",
         "on_client_gone",
         "output",
-        "reserved_body_bytes",
+        "request_bytes",
+        "response_buffer",
         "response_complete",
         "upload",
         "version",
@@ -53,8 +53,10 @@
         # The index of the request class; None unless the request is valid.
         self.class_index: int | None = None
         self.upload: Upload | None = None
-        # Bytes of the budget that are reserved for the request's body until the response begins.
-        self.reserved_body_bytes = 0
+        # The bytes reserved for the request, until the response begins.
+        self.request_bytes: Reservation = RequestReservation(connection.listener.budget)
+        # The bytes reserved for the response, until the client's connection has sent it.
+        self.response_buffer = Reservation(connection.listener.budget)
         # Output that is not written to the connection yet.
         self.output: list[bytes] = []
         # Whether all output of the response has been produced.
@@ -62,12 +64,31 @@
         self.on_client_gone: Callable[[], None] | None = None
         # Pauses or resumes reading from the source of a streamed response; None until one has begun.
         self._set_reading: Callable[[bool], None] | None = None
-        # Whether the byte budget has reserved the buffer of a streamed response.
-        self._has_buffer = False
         self._chunked = False
         # Whether only the close of the connection marks the end of the response.
         self._ends_with_connection = False
 
+    def try_reserve(self, message: Message) -> bool:
+        """Reserve what the request needs to be carried to its end; return whether there was room."""
+        upload = message.upload
+        body_bytes = len(message.body) if upload is None else upload.buffered_bytes
+        request_bytes = HEAD_COPIES * message.head_bytes + body_bytes
+        if not self.request_bytes.try_resize(request_bytes):
+            return False
+        if upload is not None:
+            upload.reservation = self.request_bytes
+        return self.response_buffer.try_resize(MIN_BUFFER_BYTES)
+
+    def new_response_buffer(self) -> Reservation | None:
+        """Reserve a buffer for one more concurrent response to the request; None if there is no room."""
+        buffer = Reservation(self._connection.listener.budget)
+        return buffer if buffer.try_resize(MIN_BUFFER_BYTES) else None
+
+    def release(self) -> None:
+        """Return all reserved bytes, as nothing will be sent any more."""
+        self.request_bytes.release()
+        self.response_buffer.release()
+
     @property
     def response_started(self) -> bool:
         """Whether a streamed response has begun."""
@@ -91,30 +112,20 @@
         self._connection.flush()
 
     def start_response(self, message: Message, set_reading: Callable[[bool], None]) -> None:
-        """Begin a streamed response; its source is read as fast as the client and the byte budget allow."""
+        """Begin a streamed response; its source is read as fast as the client reads."""
         self._decide_close()
         self._ends_with_connection = message.content_length is None and self.version == "1.0"
         self.close_after = self.close_after or self._ends_with_connection
         head, self._chunked = render_response_head(message, version=self.version, close=self.close_after)
         self.output = [head]
         self._set_reading = set_reading
-        set_reading(False)
-        self._connection.listener.budget.reserve_when_free(STREAM_BUFFER_BYTES, self._on_buffer_reserved)
-        self._connection.flush()
-
-    def _on_buffer_reserved(self) -> None:
-        """Start reading the source of a streamed response, as its buffer is reserved now."""
-        if self.client_gone or self.response_complete:
-            self._connection.listener.budget.release(STREAM_BUFFER_BYTES)
-            return
-        self._has_buffer = True
-        self._connection.reserved_bytes += STREAM_BUFFER_BYTES
         self.update_flow()
+        self._connection.flush()
 
     def update_flow(self) -> None:
         """Read the source of a streamed response only while the client reads."""
         if self._set_reading is not None and not self.response_complete:
-            self._set_reading(self._has_buffer and self._connection.accepts_output_of(self))
+            self._set_reading(self._connection.accepts_output_of(self))
 
     def check_client(self) -> None:
         """Close the connection if the client has left; called before an attempt, which is useless then."""
@@ -159,7 +170,7 @@
         self.close_after = self.close_after or (connection.listener.closing and connection.is_last(self))
         # The unread rest of a body must not be parsed as the next request.
         self.close_after = self.close_after or (self.upload is not None and not self.upload.received)
-        connection.listener.release_body(self)
+        self.request_bytes.release()
 
     def _count_response(self, status: int) -> None:
         if self.class_index is not None:
--- a/crowpost/node/downstream/interfaces.py
+++ b/crowpost/node/downstream/interfaces.py
@@ -7,9 +7,9 @@
 
 from typing import Protocol
 
+from crowpost.node.byte_budget import ByteBudget
 from crowpost.node.downstream.connection import ClientConnection
 from crowpost.node.downstream.exchange import Exchange
-from crowpost.node.http.body import ByteBudget
 from crowpost.node.http.message import Message
 from crowpost.node.metrics import Metrics
 from crowpost.node.reading import ReadScheduler
@@ -25,15 +25,10 @@
     def now(self) -> float:
         """Return monotonic time in seconds."""
 
-    def release_body(self, exchange: Exchange) -> None:
-        """Return the bytes of a request's body to the budget."""
-
 
 class ExchangeConnection(Protocol):
     """The part of its client connection that an exchange uses."""
 
-    reserved_bytes: int
-
     @property
     def listener(self) -> ExchangeListener:
         """The listener that accepted this connection."""
@@ -71,5 +66,11 @@
     def route(self, message: Message, exchange: Exchange) -> None:
         """Start handling a request; raise MessageError if the node does not serve it."""
 
+    def count_rejection(self) -> None:
+        """Count a request that was rejected because the connection or memory limit was reached."""
+
+    def class_index_of(self, message: Message) -> int | None:
+        """Return the index of the class that a head names; None if it names none."""
+
     def check(self, message: Message) -> None:
         """Raise MessageError if the node would not serve a request with this head."""
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 
 from crowpost.decision_api import Settings
-from crowpost.node.downstream.connection import ClientConnection
-from crowpost.node.downstream.exchange import STREAM_BUFFER_BYTES, Exchange
+from crowpost.node.byte_budget import MIN_BUFFER_BYTES, REQUEST_FRACTION, STREAM_BUFFER_BYTES, ByteBudget
+from crowpost.node.downstream.connection import OVERLOAD_RETRY_AFTER, ClientConnection
+from crowpost.node.downstream.exchange import Exchange
 from crowpost.node.downstream.request import ClientRequest, RequestParser, is_api_path, normalize_path
-from crowpost.node.http.body import ByteBudget
 from crowpost.node.http.message import Message, MessageError
 from crowpost.node.metrics import Metrics
 from crowpost.node.reading import ReadScheduler
@@ -20,8 +20,9 @@
 log = logging.getLogger(__name__)
 
 SWEEP_INTERVAL_S = 0.1
-OVERLOAD_RETRY_AFTER_S = 0.5
 BACKLOG = 1024
+# The least budget with which one long body can be received.
+MIN_BUDGET_BYTES = int((STREAM_BUFFER_BYTES + 2 * MIN_BUFFER_BYTES) / REQUEST_FRACTION)
 
 
 class Listener:
@@ -51,7 +52,7 @@
         self._on_request = on_request
         self._ready = ready
         self._max_connections = max_connections
-        self.budget = ByteBudget(max(max_body_bytes, STREAM_BUFFER_BYTES))
+        self.budget = ByteBudget(max(max_body_bytes, MIN_BUDGET_BYTES))
         # Requests rejected since the last sweep because the connection or memory limit was reached.
         self._rejected = 0
         self._loop = asyncio.get_running_loop()
@@ -105,11 +106,9 @@
         """Return whether the connection limit is exceeded because no connection could be evicted."""
         return len(self._connections) > self._max_connections
 
-    def release_body(self, exchange: Exchange) -> None:
-        """Return the bytes of a request's body to the budget."""
-        size = exchange.reserved_body_bytes
-        exchange.reserved_body_bytes = 0
-        self.budget.release(size)
+    def count_rejection(self) -> None:
+        """Count a request that was rejected because the connection or memory limit was reached."""
+        self._rejected += 1
 
     def _evict_one(self, newest: ClientConnection) -> None:
         """Close the least useful connection that may be closed: clients must not use up all descriptors."""
@@ -195,15 +194,17 @@
         waited_s = 0.0 if message.upload is not None else self.now() - exchange.arrived_at
         request = self._request_parser.parse(message, path, waited_s)
         exchange.class_index = request.class_index
-        size = len(message.body) if message.upload is None else STREAM_BUFFER_BYTES
-        if self.over_limit() or not self.budget.try_reserve(size):
-            self._rejected += 1
+        if self.over_limit() or not exchange.try_reserve(message):
+            self.count_rejection()
             exchange.close_after = True
-            exchange.respond(503, extra=b"Retry-After: %.3f\r\n" % OVERLOAD_RETRY_AFTER_S)
+            exchange.respond(503, extra=OVERLOAD_RETRY_AFTER)
         else:
-            exchange.reserved_body_bytes = size
             self._on_request(request, exchange)
 
+    def class_index_of(self, message: Message) -> int | None:
+        """Return the index of the class that a head names; None if it names none."""
+        return self._request_parser.class_index_of(message)
+
     def check(self, message: Message) -> None:
         """Raise MessageError if the node would not serve a request with this head."""
         path = normalize_path(message)
--- a/crowpost/node/downstream/request.py
+++ b/crowpost/node/downstream/request.py
@@ -44,6 +44,10 @@
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
 
+    def class_index_of(self, message: Message) -> int | None:
+        """Return the index of the class that a head names; None if it names none."""
+        return self._classes.get(message.headers.get(CLASS, b""))
+
     def parse(self, message: Message, path: bytes, waited_s: float = 0.0) -> ClientRequest:
         """Return the request; raise MessageError if a header is missing, repeated or out of range.
 
--- a/crowpost/node/http/body.py
+++ b/crowpost/node/http/body.py
@@ -1,11 +1,13 @@
-"""Streaming of bodies that are too long to be buffered, and the byte budget of a node."""
+"""Streaming of bodies that are too long to be buffered."""
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
+from crowpost.node.byte_budget import MIN_BUFFER_BYTES, STREAM_BUFFER_BYTES, Reservation
+from crowpost.node.reading import READ_BYTES
+
 
 class BodySink(Protocol):
     """The destination of a streamed body."""
@@ -33,11 +35,28 @@
         # Whether an attempt was attached: the first bytes are no longer buffered, so no other can send them.
         self.consumed = False
         self.on_received: Callable[[], None] | None = None
+        # The bytes reserved for the body, from when its request is accepted.
+        self.reservation: Reservation | None = None
         self._buffered = [first]
         self._set_reading = set_reading
         self._sink: BodySink | None = None
+        self._sink_ready = True
+        # Whether the bytes that were buffered before the attempt have left the node.
+        self._flowing = False
         set_reading(False)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes that wait for an attempt."""
+        return sum(map(len, self._buffered))
+
+    @property
+    def max_read_bytes(self) -> int:
+        """The most bytes that may be read from the client at once."""
+        if self.reservation is None or not self._flowing:
+            return MIN_BUFFER_BYTES
+        return min(READ_BYTES, max(MIN_BUFFER_BYTES, self.reservation.size))
+
     def feed(self, data: bytes) -> None:
         """Forward a received part to the sink, or buffer it until there is one."""
         if self._sink is not None:
@@ -63,7 +82,8 @@
             sink.write_body(data)
         if self.received:
             sink.end_body()
-        self._set_reading(True)
+        self._set_reading(self._sink_ready or self.received)
+        self._begin_flow()
 
     def detach(self) -> None:
         """Discard the rest of the body."""
@@ -72,34 +92,15 @@
 
     def set_sink_ready(self, ready: bool) -> None:
         """Read from the client only while the sink can write more."""
+        self._sink_ready = ready
         if self._sink is not None and not self.received:
             self._set_reading(ready)
-
-
-class ByteBudget:
-    """The limit on the bytes that all bodies in flight may occupy in a node at once."""
-
-    def __init__(self, limit: int) -> None:
-        self.limit = limit
-        self.reserved = 0
-        self._waiting: deque[tuple[int, Callable[[], None]]] = deque()
-
-    def try_reserve(self, size: int) -> bool:
-        """Reserve the bytes if they are free; return whether they were."""
-        if self.reserved + size > self.limit:
-            return False
-        self.reserved += size
-        return True
-
-    def reserve_when_free(self, size: int, on_reserved: Callable[[], None]) -> None:
-        """Reserve the bytes once they are free, in the order of the calls, and then call `on_reserved`."""
-        if not self._waiting and self.try_reserve(size):
-            on_reserved()
-        else:
-            self._waiting.append((size, on_reserved))
-
-    def release(self, size: int) -> None:
-        """Return the bytes to the budget, and make the reservations that wait for them."""
-        self.reserved -= size
-        while self._waiting and self.try_reserve(self._waiting[0][0]):
-            self._waiting.popleft()[1]()
+            self._begin_flow()
+
+    def _begin_flow(self) -> None:
+        """Reserve what the rest of the body needs, once the bytes that waited for the attempt are sent."""
+        if self._flowing or not self._sink_ready or self.reservation is None:
+            return
+        self._flowing = True
+        if self.reservation.size and not self.reservation.try_resize(STREAM_BUFFER_BYTES, optional=True):
+            self.reservation.try_resize(MIN_BUFFER_BYTES)
--- a/crowpost/node/http/message.py
+++ b/crowpost/node/http/message.py
@@ -25,6 +25,25 @@
 EXPECT = b"expect"
 HOST = b"host"
 LOAD = b"x-load"
+# All other headers are dropped when they are parsed: thousands of small ones would take much memory.
+READ_HEADERS = frozenset(
+    {
+        REQUEST_ID,
+        CLASS,
+        TENANT,
+        DEADLINE,
+        RETRY,
+        COST_HINT,
+        IDEMPOTENCY_KEY,
+        NOT_RUN,
+        CONTENT_TYPE,
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING,
+        EXPECT,
+        HOST,
+        LOAD,
+    }
+)
 
 
 class MessageError(NodeError):
@@ -51,9 +70,16 @@
     repeated_headers: set[bytes] = field(default_factory=set)
     body: bytes = b""
     keep_alive: bool = False
+    # The bytes of the head that were kept.
+    head_bytes: int = 0
     # The body of a request that is too long to be buffered.
     upload: Upload | None = None
 
+    @property
+    def size(self) -> int:
+        """The bytes that the message holds, without those of a streamed body."""
+        return self.head_bytes + len(self.body)
+
     @property
     def content_length(self) -> int | None:
         """The length of the body in bytes; None without a Content-Length header."""
--- a/crowpost/node/http/parser.py
+++ b/crowpost/node/http/parser.py
@@ -14,6 +14,7 @@
     HOST,
     MAX_BODY,
     MAX_HEAD,
+    READ_HEADERS,
     TRANSFER_ENCODING,
     Message,
     MessageError,
@@ -52,6 +53,7 @@
     """
 
     __slots__ = (
+        "_body_wanted",
         "_buffered",
         "_failure",
         "_head_bytes",
@@ -81,6 +83,8 @@
         # All other bodies are streamed once they exceed MAX_BODY.
         self._stream_immediately = False
         self._streaming = False
+        # Whether the bytes of the current body are kept or delivered.
+        self._body_wanted = True
         self._message: Message | None = None
         # The parts of the current body from the current call of `feed`.
         self._parts: list[bytes] = []
@@ -91,6 +95,11 @@
         # Messages, headers and parts of bodies in the last call of `feed`, which measure its work.
         self.parts = 0
 
+    @property
+    def message(self) -> Message | None:
+        """The message that has begun and is not complete yet."""
+        return self._message
+
     @property
     def in_message(self) -> bool:
         """Whether a message has begun and is not complete yet."""
@@ -101,6 +110,16 @@
         """Whether the head is complete and the body is not."""
         return self._message is not None and self._in_body
 
+    @property
+    def held_body_bytes(self) -> int:
+        """The bytes of the incomplete body that the parser holds."""
+        return len(self._buffered)
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of the incomplete message that the parser holds."""
+        return self._head_bytes + len(self._buffered) if self._message is not None else 0
+
     @property
     def awaits_unsized_body(self) -> bool:
         """Whether a body of unknown length is being received and buffered."""
@@ -142,6 +161,16 @@
         if CONTENT_LENGTH not in message.headers and TRANSFER_ENCODING not in message.headers:
             self.on_message_complete()
 
+    def stream_body(self) -> None:
+        """Deliver the current body as a stream from its next byte on, however short it is."""
+        self._stream_immediately = True
+
+    def drop_body(self) -> None:
+        """Keep and deliver no byte of the current body, only the end of its message."""
+        if self._message is not None:
+            self._body_wanted = False
+            self._discard_body()
+
     def start_streaming(self) -> None:
         """Stop buffering the body, and deliver the part received so far as the start of a stream."""
         if self._message is not None and not self._streaming:
@@ -160,6 +189,7 @@
         self.body_size = 0
         self._head_bytes = 0
         self._streaming = False
+        self._body_wanted = True
 
     def on_url(self, part: bytes) -> None:
         """Collect the target of a request."""
@@ -176,6 +206,8 @@
         if self._in_body:
             return  # a trailer arrives after the head has been handled, so it is ignored
         name = name.lower()
+        if name not in READ_HEADERS:
+            return
         if name in self._message.headers:
             self._message.repeated_headers.add(name)
         # httptools keeps trailing white space of a value.
@@ -204,6 +236,7 @@
             message.status = parser.get_status_code()
             self._stream_immediately = (message.content_length or 0) > MAX_BODY
         message.keep_alive = parser.should_keep_alive()
+        message.head_bytes = self._head_bytes
         if self._failure is None:
             self._receiver.on_head(message)
 
@@ -213,7 +246,8 @@
             return
         self.parts += 1
         self.body_size += len(part)
-        self._parts.append(part)
+        if self._body_wanted:
+            self._parts.append(part)
 
     def on_message_complete(self) -> None:
         """End a message and deliver it."""
@@ -236,17 +270,18 @@
 
     def _is_streamed(self) -> bool:
         """Return whether the body is delivered as a stream."""
-        return self._streaming or self._stream_immediately or self.body_size > MAX_BODY
+        if self._streaming:
+            return True
+        return self.body_size > MAX_BODY or (self._stream_immediately and self.body_size > 0)
 
     def _deliver_parts(self) -> None:
         """Deliver the collected parts of a body as one if it is streamed, else buffer them."""
-        if not self._parts:
-            return
         if self._streaming:
-            self._receiver.on_stream_data(self._take_body())
-        elif self._is_streamed():
+            if self._parts:
+                self._receiver.on_stream_data(self._take_body())
+        elif self._message is not None and self._is_streamed():
             self.start_streaming()
-        else:
+        elif self._parts:
             self._buffered += b"".join(self._parts)
             self._parts.clear()
 
--- a/crowpost/node/reading.py
+++ b/crowpost/node/reading.py
@@ -75,13 +75,13 @@
         self._paused = paused
         self._update()
 
-    def finish_read(self, size: int, parts: int) -> None:
+    def finish_read(self, size: int, parts: int, *, filled: bool) -> None:
         """End the turn of the connection after a read that caused much work or left input waiting.
 
-        size: the bytes that were read; parts: the parsed parts.
+        size: the bytes that were read; parts: the parsed parts; filled: whether they filled the buffer.
         """
         self.last_parts = parts + size // BYTES_PER_PART
-        if self._awaits_turn or (size < READ_BYTES and self.last_parts <= MAX_PARTS_PER_READ):
+        if self._awaits_turn or not (filled or self.last_parts > MAX_PARTS_PER_READ):
             return
         self._awaits_turn = True
         self._scheduler.add(self)
--- a/crowpost/node/request_table.py
+++ b/crowpost/node/request_table.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from crowpost.decision_api import Effect, Outcome, RequestAbandoned, RequestArrived, RequestId, Settings
+from crowpost.node.byte_budget import Reservation
 from crowpost.node.clock import Clock
 from crowpost.node.downstream.exchange import Exchange
 from crowpost.node.downstream.request import ClientRequest
@@ -133,6 +134,22 @@
             if call is not None:
                 call.set_timeout(pending.budget_ms / 1000.0)
 
+    def response_buffer(self, request: RequestId, pending: PendingRequest) -> Reservation | None:
+        """Return the reserved bytes for the response of the next attempt; None if there is no room for them.
+
+        An attempt beside another one needs bytes of its own.
+        """
+        if any((request, number) in self.calls for number in range(pending.attempts)):
+            return pending.exchange.new_response_buffer()
+        return pending.exchange.response_buffer
+
+    def _drop_response_bodies(self, request: RequestId, pending: PendingRequest) -> None:
+        """Keep nothing of the responses of attempts that are left to end by themselves."""
+        for number in range(pending.attempts):
+            call = self.calls.get((request, number))
+            if call is not None:
+                call.drop_response_body()
+
     def find_with_client(self, request: RequestId) -> PendingRequest | None:
         """Return a pending request; None if it is closed or its client has disconnected."""
         pending = self.pending.get(request)
@@ -147,6 +164,7 @@
             if pending.timer is not None:
                 pending.timer.cancel()
             pending.exchange.on_client_gone = None
+            self._drop_response_bodies(request, pending)
             if self._events.delivering:
                 self.just_closed[request] = pending
         return pending
--- a/crowpost/node/upstream/call.py
+++ b/crowpost/node/upstream/call.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from crowpost.decision_api import Outcome
+from crowpost.node.byte_budget import Reservation
 from crowpost.node.http.body import BodySink, Upload
 from crowpost.node.http.message import Message
 
@@ -45,6 +46,7 @@
         "on_response_start",
         "on_written",
         "render",
+        "response_buffer",
         "response_started",
         "upload",
         "written",
@@ -59,6 +61,7 @@
         on_written: Callable[[], None] | None = None,
         on_response_start: OnResponseStart | None = None,
         upload: Upload | None = None,
+        response_buffer: Reservation | None = None,
         may_write: MayWrite = lambda: True,
     ) -> None:
         self._loop = asyncio.get_running_loop()
@@ -71,6 +74,8 @@
         self.on_written = on_written
         self.on_response_start = on_response_start  # None if only the status is needed
         self.upload = upload
+        # The bytes reserved for the response; None if its body is not needed.
+        self.response_buffer = response_buffer
         self.connection_note = "not written"  # log text that describes the connection of the call
         self.finished = False
         self._on_finished = on_finished
@@ -114,6 +119,12 @@
             connection.abort()
         self.finish(outcome)
 
+    def drop_response_body(self) -> None:
+        """Keep nothing of the response's body, as another response has been sent to the client."""
+        self.response_buffer = None
+        if self.connection is not None:
+            self.connection.drop_response_body()
+
     def is_chunked(self) -> bool:
         """Return whether the request has a long body of unknown length."""
         return self.upload is not None and self.upload.length is None
--- a/crowpost/node/upstream/interfaces.py
+++ b/crowpost/node/upstream/interfaces.py
@@ -26,6 +26,9 @@
     def abort(self) -> None:
         """Close immediately."""
 
+    def drop_response_body(self) -> None:
+        """Read the response to its end, but keep nothing of its body."""
+
     def discard_response(self, deadline: float) -> None:
         """Read and discard the response until the deadline, in the loop's time."""
 
