Bound the memory of a node by its limit, whatever peers leave unread or unsent

Ruled out: the connections' own objects (341 held requests: 1.2 MB).

Change: budget_bytes leaves room for the process, its connections and twice the reserved bytes, as the allocator keeps freed pieces; bytes that only make a body faster are given back while over half of the budget is reserved, and are not taken beyond that.

Starting a node process moved from test_process to tests/node/processes.py for this test; no check of test_process changed.

--- a/crowpost/node/byte_budget.py
+++ b/crowpost/node/byte_budget.py
@@ -16,12 +16,35 @@
 # The share of the budget for requests: clients that send slowly leave the rest to responses.
 REQUEST_FRACTION = 0.5
 # Bytes that are not needed are reserved only up to this share of a limit: the rest is for new requests.
-OPTIONAL_FRACTION = 0.75
+OPTIONAL_FRACTION = 0.5
+
+# The memory of a process without requests: the interpreter, the modules and the endpoint list.
+PROCESS_BYTES = 18_000_000
+# The objects of one connection, and of the request that it carries.
+CONNECTION_BYTES = 8_000
+# Memory that the allocator takes for each reserved byte: freed pieces lie between those in use.
+MEMORY_PER_BYTE = 2.0
+# The most of the memory limit that may be reserved: the operators want half of it to stay free.
+MAX_BUDGET_FRACTION = 0.25
+# The least budget, with which one long body can be received.
+MIN_BUDGET_BYTES = int((STREAM_BUFFER_BYTES + 2 * MIN_BUFFER_BYTES) / REQUEST_FRACTION)
+
+
+def budget_bytes(memory_limit: float, max_connections: int) -> int:
+    """Return the budget with which a process stays below its memory limit, in bytes.
+
+    memory_limit: in bytes; max_connections: the most connections to clients and endpoints.
+    """
+    available = memory_limit - PROCESS_BYTES - CONNECTION_BYTES * max_connections
+    budget = min(MAX_BUDGET_FRACTION * memory_limit, available / MEMORY_PER_BYTE)
+    return max(MIN_BUDGET_BYTES, int(budget))
 
 
 class ByteBudget:
     """The limit on the bytes that all requests and responses in flight may hold, in bytes."""
 
+    __slots__ = ("limit", "reserved", "reserved_by_requests")
+
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.reserved = 0
@@ -49,6 +72,12 @@
         self.add(growth)
         return True
 
+    def shrink_if_scarce(self, size: int) -> None:
+        """Return the bytes beyond `size` if more than the optional share of the budget is reserved."""
+        scarce = self._budget.reserved > OPTIONAL_FRACTION * self._budget.limit
+        if scarce and self.size > size:
+            self.add(size - self.size)
+
     def release(self) -> None:
         """Return all bytes to the budget; nothing happens if they were returned before."""
         self.add(-self.size)
--- a/crowpost/node/downstream/exchange.py
+++ b/crowpost/node/downstream/exchange.py
@@ -125,7 +125,11 @@
     def update_flow(self) -> None:
         """Read the source of a streamed response only while the client reads."""
         if self._set_reading is not None and not self.response_complete:
-            self._set_reading(self._connection.accepts_output_of(self))
+            accepted = self._connection.accepts_output_of(self)
+            if accepted:
+                # Nothing is unsent, so the response can go on with less.
+                self.response_buffer.shrink_if_scarce(MIN_BUFFER_BYTES)
+            self._set_reading(accepted)
 
     def check_client(self) -> None:
         """Close the connection if the client has left; called before an attempt, which is useless then."""
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from crowpost.decision_api import Settings
-from crowpost.node.byte_budget import MIN_BUFFER_BYTES, REQUEST_FRACTION, STREAM_BUFFER_BYTES, ByteBudget
+from crowpost.node.byte_budget import ByteBudget
 from crowpost.node.downstream.connection import OVERLOAD_RETRY_AFTER, ClientConnection
 from crowpost.node.downstream.exchange import Exchange
 from crowpost.node.downstream.request import ClientRequest, RequestParser, is_api_path, normalize_path
@@ -21,8 +21,6 @@
 
 SWEEP_INTERVAL_S = 0.1
 BACKLOG = 1024
-# The least budget with which one long body can be received.
-MIN_BUDGET_BYTES = int((STREAM_BUFFER_BYTES + 2 * MIN_BUFFER_BYTES) / REQUEST_FRACTION)
 
 
 class Listener:
@@ -39,7 +37,7 @@
         ready: Callable[[], bool],
         metrics: Metrics,
         max_connections: int,
-        max_body_bytes: int,
+        budget: ByteBudget,
         reads: ReadScheduler,
     ) -> None:
         self.reads = reads
@@ -52,7 +50,7 @@
         self._on_request = on_request
         self._ready = ready
         self._max_connections = max_connections
-        self.budget = ByteBudget(max(max_body_bytes, MIN_BUDGET_BYTES))
+        self.budget = budget
         # Requests rejected since the last sweep because the connection or memory limit was reached.
         self._rejected = 0
         self._loop = asyncio.get_running_loop()
--- a/crowpost/node/http/body.py
+++ b/crowpost/node/http/body.py
@@ -94,8 +94,10 @@
         """Read from the client only while the sink can write more."""
         self._sink_ready = ready
         if self._sink is not None and not self.received:
-            self._set_reading(ready)
+            if ready and self._flowing and self.reservation is not None:
+                self.reservation.shrink_if_scarce(MIN_BUFFER_BYTES)
             self._begin_flow()
+            self._set_reading(ready)
 
     def _begin_flow(self) -> None:
         """Reserve what the rest of the body needs, once the bytes that waited for the attempt are sent."""
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -18,6 +18,7 @@
 from crowpost.decisions import Balancer
 from crowpost.node.admin import AdminAction, AdminResponse, AdminServer
 from crowpost.node.attempt import AttemptSender
+from crowpost.node.byte_budget import ByteBudget, budget_bytes
 from crowpost.node.clock import Clock
 from crowpost.node.configuration import Config, ConfigError, read_discovery
 from crowpost.node.discovery.client import DiscoveryClient
@@ -54,8 +55,6 @@
 # Dozens of clients of the admin server may hold connections without sending anything.
 ADMIN_SOCKET_FRACTION = 1 / 12
 MIN_ADMIN_CONNECTIONS = 2
-# Fraction of the memory for the bodies of pending requests; as much again may be in buffers.
-BODY_MEMORY_FRACTION = 0.25
 # Fraction of the limits for each of the two processes that form one node during an upgrade.
 SHARED_LIMIT_FRACTION = 0.5
 
@@ -82,7 +81,9 @@
             self._inherited_socket = adopt_listening_socket(config.accept_fd)
         limit_fraction = 1.0 if self._inherited_socket is None else SHARED_LIMIT_FRACTION
         sockets = int(limit_fraction * config.limits.sockets)
-        body_bytes = int(BODY_MEMORY_FRACTION * limit_fraction * config.limits.memory_mb * 1_000_000)
+        max_clients = int(CLIENT_SOCKET_FRACTION * sockets)
+        max_upstream = int(ENDPOINT_SOCKET_FRACTION * sockets)
+        memory_limit = limit_fraction * config.limits.memory_mb * 1_000_000
         self._metrics = Metrics([request_class.name for request_class in config.settings.classes])
         self._balancer = self._make_balancer()
         host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
@@ -91,7 +92,7 @@
         self._pool = ConnectionPool(
             connect_timeout_s=config.settings.connect_timeout_ms / 1000.0,
             idle_timeout_s=config.conn_idle_ms / 1000.0,
-            max_connections=int(ENDPOINT_SOCKET_FRACTION * sockets),
+            max_connections=max_upstream,
             probe_request=health_check if config.settings.may_check_health else None,
             reads=reads,
         )
@@ -101,8 +102,8 @@
             self._requests.add,
             self.ready,
             self._metrics,
-            max_connections=int(CLIENT_SOCKET_FRACTION * sockets),
-            max_body_bytes=body_bytes,
+            max_connections=max_clients,
+            budget=ByteBudget(budget_bytes(memory_limit, max_clients + max_upstream)),
             reads=reads,
         )
         self._drain = Drain(
--- a/tests/node/state/test_writer.py
+++ b/tests/node/state/test_writer.py
@@ -21,6 +21,7 @@
 from crowpost.storage.config import StateConfig
 from crowpost.storage.model import Durability
 from crowpost.storage.runner import inspect_store
+from tests.node.processes import logged_address, node_configuration, node_environment, start_node
 from tests.node.state.helpers import config, until, write_malformed_list
 from tests.node.stubs import (
     WAIT_TIMEOUT_S,
@@ -33,7 +34,6 @@
     running_node,
     send_line,
 )
-from tests.node.test_process import _configuration, _environment, _logged_address, _start
 
 
 def test_state_modules_are_not_imported_without_a_state_directory() -> None:
@@ -78,15 +78,15 @@
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, StubDiscovery() as discovery:
             file, state = tmp_path / "config.json", tmp_path / "state.toml"
-            file.write_text(json.dumps(_configuration(server)))
+            file.write_text(json.dumps(node_configuration(server)))
             state.write_text(f'[state]\ndirectory = "{tmp_path / "state"}"\n')
-            environment = _environment(discovery, file) | {"NODE_MANAGEMENT": "127.0.0.1:0"}
+            environment = node_environment(discovery, file) | {"NODE_MANAGEMENT": "127.0.0.1:0"}
             environment["NODE_STATE"] = str(state)
             statuses = []
             for action in ("evacuate", "rejoin", ""):
-                process = await _start(environment)
-                address = await _logged_address(process, "managed")
-                await _logged_address(process, "listens")
+                process = await start_node(environment)
+                address = await logged_address(process, "managed")
+                await logged_address(process, "listens")
                 statuses.append(await call_admin(address, "GET", "ready"))
                 if action:
                     assert await call_admin(address, "POST", action) == 200
--- /dev/null
+++ b/tests/node/test_memory.py
@@ -0,0 +1,324 @@
+"""Tests that the memory of a node process stays below its limit, whatever its peers leave unread."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import re
+import socket
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from crowpost.node.byte_budget import (
+    CONNECTION_BYTES,
+    MAX_BUDGET_FRACTION,
+    MEMORY_PER_BYTE,
+    MIN_BUFFER_BYTES,
+    OPTIONAL_FRACTION,
+    PROCESS_BYTES,
+    REQUEST_FRACTION,
+    STREAM_BUFFER_BYTES,
+    ByteBudget,
+    RequestReservation,
+    Reservation,
+    budget_bytes,
+)
+from crowpost.node.http.message import MAX_BODY, Message
+from crowpost.node.http.parser import MessageParser
+from crowpost.node.node import CLIENT_SOCKET_FRACTION, ENDPOINT_SOCKET_FRACTION
+from tests.node.processes import logged_address, node_configuration, node_environment, start_node
+from tests.node.stubs import (
+    WAIT_TIMEOUT_S,
+    Behaviour,
+    Client,
+    Received,
+    RunningNode,
+    StubDiscovery,
+    StubServer,
+    held,
+    reply,
+    request,
+    reset,
+    row,
+    run,
+    running_node,
+    unresponsive,
+)
+
+# The least memory of a node and the most descriptors, a third of which clients use (TERMS, "Resources").
+MEMORY_MB = 32
+SOCKETS = 1024
+CLIENTS = SOCKETS // 3
+MAX_MEMORY_BYTES = MEMORY_MB * 1_000_000
+SERVERS = 9
+# How long the peers hold what they hold, after the last client has sent its request.
+WATCH_S = 2.0
+WATCH_INTERVAL_S = 0.02
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def streaming(head: bytes, piece: bytes, count: int, end: bytes = b"") -> Behaviour:
+    """Return a behaviour that writes a piece many times, as fast as the node reads, and stays connected."""
+
+    async def behave(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(head)
+        for _ in range(count):
+            writer.write(piece)
+            await writer.drain()
+        writer.write(end)
+        if not end:
+            await server.release.wait()
+
+    return behave
+
+
+CHUNK = b"%x\r\n%s\r\n" % (MAX_BODY, bytes(MAX_BODY))
+LOOK = request("look")
+SMALL_HEADERS = b"".join(b"%x:\r\n" % index for index in range(2500))
+PIPELINED = b"".join(request("look", target=f"/api/{index}") for index in range(32))
+BODY_HEAD = request("book", drop=("Content-Length",), extra=f"Content-Length: {MAX_BODY}\r\n")
+# What the servers answer, and what each client sends and then neither reads nor continues.
+LOADS: dict[str, tuple[Behaviour, bytes]] = {
+    "long answers": (streaming(CHUNKED, CHUNK, 256, b"0\r\n\r\n"), LOOK),
+    "pipelined short answers": (reply("200 OK", bytes(60_000)), PIPELINED),
+    "incomplete short answers": (streaming(OK + b"Content-Length: 65000\r\n\r\n", bytes(64_900), 1), LOOK),
+    "incomplete answers in small chunks": (streaming(CHUNKED, b"2\r\nab\r\n" * 30_000, 1), LOOK),
+    "incomplete bodies": (unresponsive, BODY_HEAD + bytes(65_000)),
+    "complete bodies": (unresponsive, BODY_HEAD + bytes(MAX_BODY)),
+    "incomplete heads": (
+        unresponsive,
+        b"GET /api HTTP/1.1\r\n" + b"".join(b"%x:\r\n" % i for i in range(2500)),
+    ),
+}
+
+
+def own_memory_bytes(process: asyncio.subprocess.Process) -> int:
+    """Return the anonymous memory of the process."""
+    found = re.search(r"RssAnon:\s+(\d+) kB", Path(f"/proc/{process.pid}/status").read_text())
+    assert found
+    return 1024 * int(found[1])
+
+
+async def send_and_stop(address: tuple[str, int], text: bytes) -> socket.socket:
+    """Send this on a new connection with a small receive buffer, and read nothing."""
+    loop = asyncio.get_running_loop()
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.setblocking(False)
+    await loop.sock_connect(client, address)
+    with contextlib.suppress(ConnectionError):
+        await loop.sock_sendall(client, text)
+    return client
+
+
+@pytest.mark.parametrize("load", LOADS)
+def test_a_process_stays_below_its_memory_limit_with_peers_that_stall(load: str, tmp_path: Path) -> None:
+    """Guards against a process that is killed for memory that no budget counts."""
+    behaviour, text = LOADS[load]
+
+    async def main() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            servers = [await stack.enter_async_context(StubServer([behaviour])) for _ in range(SERVERS)]
+            discovery = await stack.enter_async_context(StubDiscovery())
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps(node_configuration(*servers, memory_mb=MEMORY_MB, sockets=SOCKETS)))
+            process = await start_node(node_environment(discovery, config))
+            address = await logged_address(process, "listens")
+            assert process.stderr is not None
+            log = asyncio.create_task(process.stderr.read())
+            clients = []
+            peak = 0
+            for _ in range(CLIENTS):
+                clients.append(asyncio.create_task(send_and_stop(address, text)))
+                await asyncio.sleep(0.005)
+                peak = max(peak, own_memory_bytes(process))
+            for _ in range(int(WATCH_S / WATCH_INTERVAL_S)):
+                await asyncio.sleep(WATCH_INTERVAL_S)
+                peak = max(peak, own_memory_bytes(process))
+            assert peak < MAX_MEMORY_BYTES
+            assert (await (await Client.connect(address)).ask(target="/ready")).status == 200
+            process.kill()
+            await process.wait()
+            await log
+            for client in clients:
+                client.cancel()
+            for ended in await asyncio.gather(*clients, return_exceptions=True):
+                if isinstance(ended, socket.socket):
+                    ended.close()
+            for server in servers:
+                server.release.set()
+
+    run(main())
+
+
+# ---------------------------------------------------------------- the budget
+
+
+@pytest.mark.parametrize("memory_mb", [32, 64, 128, 192])
+@pytest.mark.parametrize("sockets", [256, 512, 1024])
+def test_the_budget_the_process_and_its_connections_stay_below_the_memory_limit(
+    memory_mb: int, sockets: int
+) -> None:
+    connections = int((CLIENT_SOCKET_FRACTION + ENDPOINT_SOCKET_FRACTION) * sockets)
+    limit = memory_mb * 1_000_000
+    budget = budget_bytes(limit, connections)
+    assert PROCESS_BYTES + CONNECTION_BYTES * connections + MEMORY_PER_BYTE * budget <= limit
+    assert budget <= MAX_BUDGET_FRACTION * limit
+    assert budget * REQUEST_FRACTION >= STREAM_BUFFER_BYTES
+
+
+def test_requests_and_optional_bytes_leave_room_for_responses() -> None:
+    budget = ByteBudget(1000)
+    requests, response, extra = RequestReservation(budget), Reservation(budget), Reservation(budget)
+    assert not requests.try_resize(int(1000 * REQUEST_FRACTION) + 1)
+    assert requests.try_resize(int(1000 * REQUEST_FRACTION))
+    assert not extra.try_resize(int(1000 * OPTIONAL_FRACTION), optional=True)
+    assert response.try_resize(500)
+    assert not extra.try_resize(1)
+    response.release()
+    response.release()
+    assert budget.reserved == requests.size
+    requests.release()
+    assert budget.reserved == budget.reserved_by_requests == 0
+
+
+def test_a_reservation_shrinks_only_while_bytes_are_scarce() -> None:
+    budget = ByteBudget(1000)
+    reservation, other = Reservation(budget), Reservation(budget)
+    assert reservation.try_resize(400)
+    reservation.shrink_if_scarce(100)
+    assert reservation.size == 400
+    assert other.try_resize(400)
+    reservation.shrink_if_scarce(100)
+    assert (reservation.size, budget.reserved) == (100, 500)
+
+
+# ---------------------------------------------------------------- what is reserved is returned
+
+
+def long_answer_that_breaks(text: bytes) -> Behaviour:
+    """Return a behaviour that writes this and resets the connection."""
+
+    async def behave(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(text)
+        await writer.drain()
+        await reset(server, received, writer)
+
+    return behave
+
+
+async def leave(client: Client) -> None:
+    client.close()
+
+
+async def half_close(client: Client) -> None:
+    client.writer.write_eof()
+
+
+async def read_on(client: Client) -> None:
+    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        await client.answer()
+
+
+UPLOAD = request("book", body=bytes(4 * MAX_BODY))
+# What the server does, what the client sends, and what the client does then.
+ENDINGS: dict[str, tuple[Behaviour, bytes, Callable[[Client], Awaitable[None]]]] = {
+    "client leaves in a long answer": (streaming(CHUNKED, CHUNK, 100), LOOK, leave),
+    "client leaves in a body": (unresponsive, request("book", body=bytes(60_000))[:-1], leave),
+    "client leaves in an upload": (unresponsive, UPLOAD[:-1], leave),
+    "client leaves while its requests wait": (unresponsive, PIPELINED, leave),
+    "client closes its sending side": (unresponsive, request("book", body=bytes(60_000)), half_close),
+    "server breaks a long answer": (long_answer_that_breaks(CHUNKED + CHUNK * 3), LOOK, read_on),
+    "server breaks a short answer": (long_answer_that_breaks(CHUNKED + b"5\r\nab"), LOOK, read_on),
+    "server breaks an upload": (reset, UPLOAD, read_on),
+}
+
+
+@pytest.mark.parametrize("ending", ENDINGS)
+def test_every_reserved_byte_is_returned_exactly_once(ending: str) -> None:
+    """Guards against a budget that shrinks, or grows, with each request that ends early."""
+    behaviour, text, then = ENDINGS[ending]
+
+    async def main() -> None:
+        async with StubServer([behaviour]) as server, running_node(row("a", server.address)) as running:
+            for _ in range(3):
+                await play(running, server, text, then)
+            listener = running.node._listener
+            while listener._connections or running.node._requests.calls:
+                await asyncio.sleep(0)
+                listener.close_idle(0.0)
+            assert listener.budget.reserved == listener.budget.reserved_by_requests == 0
+
+    async def play(
+        running: RunningNode, server: StubServer, text: bytes, then: Callable[[Client], Awaitable[None]]
+    ) -> None:
+        listener = running.node._listener
+        client = await running.client()
+        client.reader._limit = 1024  # type: ignore[attr-defined]
+        client.writer.write(text)
+        while not listener.budget.reserved:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.05)
+        await asyncio.wait_for(then(client), WAIT_TIMEOUT_S)
+        client.writer.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("begin", ["sigterm", "drain", "reload"])
+def test_requests_during_a_shutdown_drain_or_reload_return_their_bytes(begin: str) -> None:
+    async def main() -> None:
+        behaviour = held(reply("200 OK", bytes(60_000)))
+        async with StubServer([behaviour]) as server, running_node(row("a", server.address)) as running:
+            client = await running.client()
+            client.writer.write(request("book", body=bytes(60_000)))
+            await asyncio.wait_for(server.request_received.wait(), WAIT_TIMEOUT_S)
+            budget = running.node._listener.budget
+            assert budget.reserved >= 60_000 + MIN_BUFFER_BYTES
+            if begin == "sigterm":
+                running.node.terminate()
+            elif begin == "drain":
+                assert (await running.manage("POST", "/api/evacuate")).status == 200
+            else:
+                running.node.reconfigure()
+            server.release.set()
+            assert len((await client.answer()).body) == 60_000
+            client.close()
+            while running.node._listener._connections:
+                await asyncio.sleep(0)
+            assert budget.reserved == budget.reserved_by_requests == 0
+
+    run(main())
+
+
+# ---------------------------------------------------------------- heads
+
+
+def test_headers_that_no_code_reads_are_not_kept() -> None:
+    """Guards against thousands of small headers, of a hundred bytes of memory each."""
+    kept: Counter[bytes] = Counter()
+
+    class Recorder:
+        def on_head(self, message: Message) -> None:
+            kept.update(message.headers.keys())
+
+        def on_message(self, message: Message) -> None:
+            pass
+
+        def on_stream_start(self, message: Message) -> None:
+            pass
+
+        def on_stream_data(self, data: bytes) -> None:
+            pass
+
+        def on_stream_end(self, message: Message) -> None:
+            pass
+
+    text = b"GET / HTTP/1.1\r\nHost: a\r\n" + SMALL_HEADERS + b"\r\n"
+    MessageParser(Recorder(), requests=True).feed(text)
+    assert kept == Counter([b"host"])
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -5,16 +5,14 @@
 import asyncio
 import hashlib
 import json
-import os
 import re
 import signal
 import socket
-import tomllib
 from pathlib import Path
-from typing import Any
 
 import pytest
 
+from tests.node.processes import logged_address, node_configuration, node_environment, start_node
 from tests.node.stubs import (
     HOST,
     WAIT_TIMEOUT_S,
@@ -28,61 +26,17 @@
     row,
     run,
     send_line,
-    settings,
 )
 
-ROOT = Path(__file__).parents[2]
-
-
-async def _start(environment: dict[str, str], pass_fds: tuple[int, ...] = ()) -> asyncio.subprocess.Process:
-    command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-    return await asyncio.create_subprocess_exec(
-        "/bin/sh",
-        "-c",
-        command,
-        cwd=ROOT,
-        env={**os.environ, **environment},
-        stderr=asyncio.subprocess.PIPE,
-        pass_fds=pass_fds,
-    )
-
-
-def _configuration(server: StubServer) -> dict[str, Any]:
-    return {
-        "seed": "1",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": listing(1, row("a", server.address)),
-        "settings": settings(registryMode="pushed"),
-    }
-
-
-def _environment(discovery: StubDiscovery, config: Path) -> dict[str, str]:
-    return {
-        "NODE_NAME": "n0",
-        "NODE_LISTEN": f"{HOST}:0",
-        "NODE_DISCOVERY": discovery.address,
-        "NODE_CONFIG": str(config),
-    }
-
-
-async def _logged_address(process: asyncio.subprocess.Process, event: str) -> tuple[str, int]:
-    """Return the address in the log line of the node that contains `{event} on HOST:PORT`."""
-    assert process.stderr is not None
-    line = ""
-    while not (found := re.search(rf"{event} on ([\d.]+):(\d+)", line)):
-        line = (await asyncio.wait_for(process.stderr.readline(), WAIT_TIMEOUT_S)).decode()
-        assert line, "the node ended"
-    return found[1], int(found[2])
-
 
 def test_run_serves_requests_survives_sighup_and_exits_with_0_on_sigterm(tmp_path: Path) -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
             config = tmp_path / "config.json"
-            raw = _configuration(server)
+            raw = node_configuration(server)
             config.write_text(json.dumps(raw))
-            process = await _start(_environment(discovery, config))
-            client = await Client.connect(await _logged_address(process, "listens"))
+            process = await start_node(node_environment(discovery, config))
+            client = await Client.connect(await logged_address(process, "listens"))
             assert (await client.ask(target="/ready")).status == 200
             assert (await client.ask("look")).body == b"served"
             async with StubDiscovery() as moved:
@@ -103,8 +57,8 @@
     async def main() -> None:
         async with StubServer([]) as server, StubDiscovery() as old, StubDiscovery() as moved:
             config = tmp_path / "config.json"
-            config.write_text(json.dumps({**_configuration(server), "discovery": moved.address}))
-            process = await _start(_environment(old, config))
+            config.write_text(json.dumps({**node_configuration(server), "discovery": moved.address}))
+            process = await start_node(node_environment(old, config))
             command = Path(f"/proc/{process.pid}/cmdline")
             while not command.read_bytes().startswith(b".venv/bin/python"):
                 await asyncio.sleep(0)
@@ -121,7 +75,7 @@
     async def main() -> None:
         config = tmp_path / "config.json"
         config.write_text("{}")
-        process = await _start({"NODE_NAME": "n0", "NODE_CONFIG": str(config)})
+        process = await start_node({"NODE_NAME": "n0", "NODE_CONFIG": str(config)})
         _, error = await asyncio.wait_for(process.communicate(), WAIT_TIMEOUT_S)
         assert process.returncode == 2
         assert error.decode() == "crowpost: settings is missing or not of type dict: None\n"
@@ -149,13 +103,13 @@
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, StubDiscovery() as discovery:
             config = tmp_path / "config.json"
-            config.write_text(json.dumps(_configuration(server)))
+            config.write_text(json.dumps(node_configuration(server)))
             with socket.socket() as bound:
                 bound.bind((HOST, 0))
                 values = {"bound": str(bound.fileno()), "taken": server.address}
                 substituted = {name: values.get(value, value) for name, value in variables.items()}
-                process = await _start(
-                    {**_environment(discovery, config), **substituted}, pass_fds=(bound.fileno(),)
+                process = await start_node(
+                    {**node_environment(discovery, config), **substituted}, pass_fds=(bound.fileno(),)
                 )
                 _, error = await asyncio.wait_for(process.communicate(), WAIT_TIMEOUT_S)
             assert process.returncode == 2
@@ -168,19 +122,19 @@
     async def main() -> None:
         async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
             config = tmp_path / "config.json"
-            config.write_text(json.dumps(_configuration(server)))
+            config.write_text(json.dumps(node_configuration(server)))
             with socket.socket() as listener:
                 listener.bind((HOST, 0))
                 listener.listen(64)
                 address = listener.getsockname()
                 descriptor = listener.fileno()
-                common = {**_environment(discovery, config), "NODE_ACCEPT_FD": str(descriptor)}
+                common = {**node_environment(discovery, config), "NODE_ACCEPT_FD": str(descriptor)}
                 started = []
                 for _ in range(2):
-                    process = await _start({**common, "NODE_MANAGEMENT": f"{HOST}:0"}, (descriptor,))
-                    started.append((process, await _logged_address(process, "managed")))
+                    process = await start_node({**common, "NODE_MANAGEMENT": f"{HOST}:0"}, (descriptor,))
+                    started.append((process, await logged_address(process, "managed")))
                     send_line(await discovery.watch(), listing(2, row("a", server.address)))
-                    await _logged_address(process, "listens")
+                    await logged_address(process, "listens")
                 (old, _), (new, managed) = started
                 kept = await Client.connect(address)
                 done, request_count = asyncio.Event(), 0
@@ -262,9 +216,9 @@
         async with StubServer([serve_long_body]) as server, StubDiscovery() as discovery:
             config = tmp_path / "config.json"
             limits = {"cores": 1.0, "memory_mb": 48, "sockets": 256}
-            config.write_text(json.dumps({**_configuration(server), "limits": limits}))
-            process = await _start(_environment(discovery, config))
-            address = await _logged_address(process, "listens")
+            config.write_text(json.dumps({**node_configuration(server), "limits": limits}))
+            process = await start_node(node_environment(discovery, config))
+            address = await logged_address(process, "listens")
             client = await Client.connect(address)
             assert (await client.ask("look", target="/ready")).status == 200
             before = _peak_memory_kb(process)
