Split a watch into lines once for each read, so that a list may arrive in small chunks

Cause: Watch.on_body copied the whole incomplete line again for each chunk. The frames of the feed were read too and grow in place; membership reads frames of a known length.

Change: the parts of a read are joined once, the incomplete line is a bytearray.

--- a/crowpost/node/discovery/watch.py
+++ b/crowpost/node/discovery/watch.py
@@ -64,7 +64,9 @@
         self._on_line = on_line
         self._on_closed = on_closed
         self._parser = httptools.HttpResponseParser(self)
-        self._partial_line = b""
+        # The parts of the body from the current read, and the incomplete line from earlier ones.
+        self._parts: list[bytes] = []
+        self._partial_line = bytearray()
         self.objects = ObjectAssembler()
         # Whether the watch has delivered a list, or an empty line that means no change.
         self.answered = False
@@ -82,7 +84,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             log.warning("discovery: the response cannot be read: %s", error)
+            self._split_lines()
             self.close()
+        else:
+            self._split_lines()
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  asyncio's signature
         """Report the end of the watch."""
@@ -94,8 +99,19 @@
             self.close()
 
     def on_body(self, part: bytes) -> None:
-        """Split the body into lines."""
-        *lines, self._partial_line = (self._partial_line + part).split(b"\n")
+        """Collect a part of the body."""
+        self._parts.append(part)
+
+    def _split_lines(self) -> None:
+        """Split the body into lines once for each read: a list may arrive in chunks of a byte."""
+        if not self._parts:
+            return
+        *lines, rest = b"".join(self._parts).split(b"\n")
+        self._parts.clear()
+        if lines:
+            lines[0] = bytes(self._partial_line) + lines[0]
+            self._partial_line.clear()
+        self._partial_line += rest
         for line in lines:
             self._on_line(line)
         if len(self._partial_line) > MAX_LIST_BYTES:
@@ -104,6 +120,7 @@
 
     def on_message_complete(self) -> None:
         """Close the watch, as discovery has ended it."""
+        self._split_lines()
         self.close()
 
     def close(self) -> None:
