Reservations and reads: fewer steps for a request without a body

Reservations are checked and counted in one step, an unchanged pause does not ask the transport, and a message without a body joins nothing.

--- a/crowpost/node/byte_budget.py
+++ b/crowpost/node/byte_budget.py
@@ -57,6 +57,9 @@
 
     __slots__ = ("_budget", "size")
 
+    # Whether the bytes count for the share of the requests.
+    _of_request = False
+
     def __init__(self, budget: ByteBudget) -> None:
         self._budget = budget
         self.size = 0
@@ -67,20 +70,21 @@
         optional: whether the holder can do without them.
         """
         growth = size - self.size
-        if growth > 0 and not self._has_room(growth, optional=optional):
+        if growth > 0 and not self._has_room(growth, OPTIONAL_FRACTION if optional else 1.0):
             return False
         self.add(growth)
         return True
 
     def shrink_if_scarce(self, size: int) -> None:
         """Return the bytes beyond `size` if more than the optional share of the budget is reserved."""
-        scarce = self._budget.reserved > OPTIONAL_FRACTION * self._budget.limit
-        if scarce and self.size > size:
+        budget = self._budget
+        if self.size > size and budget.reserved > OPTIONAL_FRACTION * budget.limit:
             self.add(size - self.size)
 
     def release(self) -> None:
         """Return all bytes to the budget; nothing happens if they were returned before."""
-        self.add(-self.size)
+        if self.size:
+            self.add(-self.size)
 
     def move_to(self, other: Reservation) -> None:
         """Give the bytes to another reservation."""
@@ -90,12 +94,19 @@
 
     def add(self, growth: int) -> None:
         """Reserve more bytes, or fewer if `growth` is negative, whether or not there is room."""
-        self._budget.reserved += growth
+        budget = self._budget
+        budget.reserved += growth
+        if self._of_request:
+            budget.reserved_by_requests += growth
         self.size += growth
 
-    def _has_room(self, growth: int, *, optional: bool) -> bool:
-        limit = self._budget.limit * (OPTIONAL_FRACTION if optional else 1.0)
-        return self._budget.reserved + growth <= limit
+    def _has_room(self, growth: int, fraction: float) -> bool:
+        """Return whether the bytes fit in this fraction of the budget, and of the requests' share of it."""
+        budget = self._budget
+        limit = fraction * budget.limit
+        if self._of_request and budget.reserved_by_requests + growth > REQUEST_FRACTION * limit:
+            return False
+        return budget.reserved + growth <= limit
 
 
 class RequestReservation(Reservation):
@@ -103,12 +114,4 @@
 
     __slots__ = ()
 
-    def _has_room(self, growth: int, *, optional: bool) -> bool:
-        limit = self._budget.limit * REQUEST_FRACTION * (OPTIONAL_FRACTION if optional else 1.0)
-        in_share = self._budget.reserved_by_requests + growth <= limit
-        return in_share and super()._has_room(growth, optional=optional)
-
-    def add(self, growth: int) -> None:
-        """Reserve more bytes, or fewer if `growth` is negative, whether or not there is room."""
-        self._budget.reserved_by_requests += growth
-        super().add(growth)
+    _of_request = True
--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -88,8 +88,10 @@
 
     def _reserve_input(self) -> None:
         """Reserve the bytes of requests that are not handled yet; reject the input if there is no room."""
-        waiting = [exchange.message for exchange in self._exchanges if exchange.message is not None]
-        size = self._parser.held_bytes + sum(message.size for message in waiting)
+        size = self._parser.held_bytes
+        for exchange in self._exchanges:
+            if exchange.message is not None:
+                size += exchange.message.size
         if size == self._input.size or self._input.try_resize(size) or self._discarding or self._malformed:
             return
         message = self._parser.message
--- a/crowpost/node/http/parser.py
+++ b/crowpost/node/http/parser.py
@@ -132,7 +132,8 @@
         try:
             self._feed(data)
         finally:
-            self._deliver_parts()
+            if self._message is not None:
+                self._deliver_parts()
 
     def _feed(self, data: bytes | memoryview) -> None:
         if not self._in_body:
@@ -263,7 +264,8 @@
         if self._streaming:
             self._receiver.on_stream_end(message)
             return
-        message.body = self._take_body()
+        if self.body_size:
+            message.body = self._take_body()
         # Interim responses are skipped.
         if not 100 <= message.status < 200:
             self._receiver.on_message(message)
@@ -279,7 +281,7 @@
         if self._streaming:
             if self._parts:
                 self._receiver.on_stream_data(self._take_body())
-        elif self._message is not None and self._is_streamed():
+        elif self._is_streamed():
             self.start_streaming()
         elif self._parts:
             self._buffered += b"".join(self._parts)
--- a/crowpost/node/reading.py
+++ b/crowpost/node/reading.py
@@ -72,8 +72,9 @@
 
     def set_paused(self, paused: bool) -> None:
         """Pause or resume reading for flow control."""
-        self._paused = paused
-        self._update()
+        if paused is not self._paused:
+            self._paused = paused
+            self._update()
 
     def finish_read(self, size: int, parts: int, *, filled: bool) -> None:
         """End the turn of the connection after a read that caused much work or left input waiting.
--- a/crowpost/node/request_table.py
+++ b/crowpost/node/request_table.py
@@ -139,7 +139,9 @@
 
         An attempt beside another one needs bytes of its own.
         """
-        if any((request, number) in self.calls for number in range(pending.attempts)):
+        if pending.attempts > 1 and any(
+            (request, number) in self.calls for number in range(pending.attempts)
+        ):
             return pending.exchange.new_response_buffer()
         return pending.exchange.response_buffer
 
