--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -104,6 +104,12 @@
     return 1024 * int(found[1])
 
 
+def kill(process: asyncio.subprocess.Process) -> None:
+    """Kill the process if it has not ended."""
+    if process.returncode is None:
+        process.kill()
+
+
 async def send_and_stop(address: tuple[str, int], text: bytes) -> socket.socket:
     """Send this on a new connection with a small receive buffer, and read nothing."""
     loop = asyncio.get_running_loop()
@@ -128,6 +134,7 @@
             config = tmp_path / "config.json"
             config.write_text(json.dumps(node_configuration(*servers, memory_mb=MEMORY_MB, sockets=SOCKETS)))
             process = await start_node(node_environment(discovery, config))
+            stack.callback(kill, process)
             address = await logged_address(process, "listens")
             assert process.stderr is not None
             log = asyncio.create_task(process.stderr.read())
@@ -142,7 +149,7 @@
                 peak = max(peak, own_memory_bytes(process))
             assert peak < MAX_MEMORY_BYTES
             assert (await (await Client.connect(address)).ask(target="/ready")).status == 200
-            process.kill()
+            kill(process)
             await process.wait()
             await log
             for client in clients:
