--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -18,6 +18,7 @@
 from tests.node.stubs import (
     HOST,
     WAIT_TIMEOUT_S,
+    Answer,
     Behaviour,
     Client,
     Received,
@@ -601,6 +602,26 @@
     run(main())
 
 
+async def fill_with_uploads(running: RunningNode) -> tuple[list[Client], Answer]:
+    """Begin long bodies and stop in their midst until one is rejected.
+
+    Return the clients whose bodies were accepted, and the response to the rejected one.
+    """
+    budget = running.node._listener.budget
+    uploading: list[Client] = []
+    while True:
+        client = await running.client()
+        client.writer.write(request("book", body=LONG)[:100_000])
+        reading = asyncio.create_task(client.answer())
+        while len(running.node._requests.pending) == len(uploading) and not reading.done():
+            await asyncio.sleep(0)
+        assert budget.reserved <= budget.limit
+        if reading.done():
+            return uploading, reading.result()
+        reading.cancel()
+        uploading.append(client)
+
+
 def test_long_bodies_beyond_the_memory_limit_are_rejected_immediately() -> None:
     async def main() -> None:
         async with (
@@ -608,20 +629,7 @@
             running_node(row("a", server.address), memory_mb=4) as running,
         ):
             budget = running.node._listener.budget
-            answer = None
-            uploading: list[Client] = []
-            while answer is None:
-                client = await running.client()
-                client.writer.write(request("book", body=LONG)[:100_000])
-                reading = asyncio.create_task(client.answer())
-                while len(running.node._requests.pending) == len(uploading) and not reading.done():
-                    await asyncio.sleep(0)
-                assert budget.reserved <= budget.limit
-                if reading.done():
-                    answer = reading.result()
-                else:
-                    reading.cancel()
-                    uploading.append(client)
+            uploading, answer = await fill_with_uploads(running)
             assert answer.status == 503 and "retry-after" in answer.headers
             least, most = byte_budget.MIN_BUFFER_BYTES, byte_budget.STREAM_BUFFER_BYTES
             share = byte_budget.REQUEST_FRACTION * budget.limit
@@ -631,22 +639,6 @@
     run(main())
 
 
-async def fill_with_uploads(running: RunningNode) -> list[Client]:
-    """Begin long bodies and stop in their midst, until the node accepts no more; return their clients."""
-    uploading: list[Client] = []
-    while True:
-        client = await running.client()
-        client.writer.write(request("book", body=LONG)[:100_000])
-        reading = asyncio.create_task(client.answer())
-        while len(running.node._requests.pending) == len(uploading) and not reading.done():
-            await asyncio.sleep(0)
-        if reading.done():
-            assert reading.result().status == 503
-            return uploading
-        reading.cancel()
-        uploading.append(client)
-
-
 def test_long_answers_arrive_while_slow_uploads_hold_their_share_of_the_memory() -> None:
     """Guards against answers that begin and then wait, without limit, for bytes that slow uploads hold."""
 
@@ -655,8 +647,9 @@
             StubServer([unresponsive]) as uploads,
             running_node(row("a", uploads.address), memory_mb=8) as running,
         ):
-            uploading = await fill_with_uploads(running)
+            uploading, rejected = await fill_with_uploads(running)
             assert uploading
+            assert rejected.status == 503
             for form in ("length", "chunked", "close"):
                 uploads.behaviours[:] = [FORMS[form]]
                 client = await running.client()
