Break the reference cycles of closed connections and ended requests

Cause: a closed connection, its parser and httptools' parser referred to each other, an attempt and its call did so after every request, and a watch and an upload referred to themselves. All of them stayed until a full garbage collection, while their bytes had been returned to the budget. Ruled out: fragmentation and write buffers, as gc.collect freed everything; more frequent collections, which pause the node. Change: MessageParser.close at the end of a connection; an attempt forgets its call; callbacks of uploads and watches refer to neither; the linger timer is cancelled; errors are logged as text; the body of a closed request is dropped.

--- a/crowpost/node/admin.py
+++ b/crowpost/node/admin.py
@@ -125,6 +125,7 @@
         self._transport = None
         if self._timer is not None:
             self._timer.cancel()
+        self._parser.close()
         self._admin.closed(self)
 
 
--- a/crowpost/node/attempt.py
+++ b/crowpost/node/attempt.py
@@ -196,6 +196,8 @@
                 body_consumed,
             )
         )
+        # The call refers to this object too: without the cycle both are freed at once.
+        self._call = None
 
     def _move_buffer_to_client(self) -> None:
         """Keep the bytes of the response reserved until the client's connection has sent it."""
--- a/crowpost/node/discovery/client.py
+++ b/crowpost/node/discovery/client.py
@@ -94,12 +94,7 @@
     async def _open_watch(self) -> None:
         host, port = self.address
         target = b"/v1/endpoints?watch=1&from=%d" % self._version
-        watch = Watch(
-            target,
-            b"%s:%d" % (host.encode(), port),
-            lambda line: self._on_line(watch, line),
-            lambda: self._on_closed(watch),
-        )
+        watch = Watch(target, b"%s:%d" % (host.encode(), port), self._on_line, self._on_closed)
         self._watch = watch
         self._set_timeout(min(self._call_timeout_s, FIRST_LINE_TIMEOUT_S))
         try:
--- a/crowpost/node/discovery/watch.py
+++ b/crowpost/node/discovery/watch.py
@@ -12,6 +12,11 @@
 
 log = logging.getLogger(__name__)
 
+# Called with a watch and a complete line of it.
+OnLine = Callable[["Watch", bytes], None]
+# Called once, with a watch whose connection has ended.
+OnClosed = Callable[["Watch"], None]
+
 # Enough for about ten thousand endpoints, over one line or several.
 MAX_LIST_BYTES = 4 * 1024 * 1024
 
@@ -57,13 +62,12 @@
     on_line: called with each complete line; on_closed: called once, at the end of the connection.
     """
 
-    def __init__(
-        self, target: bytes, host: bytes, on_line: Callable[[bytes], None], on_closed: Callable[[], None]
-    ) -> None:
+    def __init__(self, target: bytes, host: bytes, on_line: OnLine, on_closed: OnClosed) -> None:
         self._request = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, host)
         self._on_line = on_line
         self._on_closed = on_closed
-        self._parser = httptools.HttpResponseParser(self)
+        # Created with the connection, and deleted at its end: it refers to this object.
+        self._parser: httptools.HttpResponseParser
         # The parts of the body from the current read, and the incomplete line from earlier ones.
         self._parts: list[bytes] = []
         self._partial_line = bytearray()
@@ -76,6 +80,7 @@
         """Send the request."""
         # uvloop's transports are not subclasses of asyncio.Transport.
         self.transport = cast(asyncio.Transport, transport)
+        self._parser = httptools.HttpResponseParser(self)
         self.transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
@@ -91,7 +96,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  asyncio's signature
         """Report the end of the watch."""
-        self._on_closed()
+        del self._parser
+        self._on_closed(self)
 
     def on_headers_complete(self) -> None:
         """Close the watch unless the status is 200; httptools calls this and the next two methods."""
@@ -113,7 +119,7 @@
             self._partial_line.clear()
         self._partial_line += rest
         for line in lines:
-            self._on_line(line)
+            self._on_line(self, line)
         if len(self._partial_line) > MAX_LIST_BYTES:
             log.warning("discovery: a line is longer than %d bytes", MAX_LIST_BYTES)
             self.close()
--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -37,6 +37,7 @@
         # Whether the client waits for 100 Continue.
         self._continue_pending = False
         self._linger_until = 0.0
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._routing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -296,7 +297,7 @@
         now = self.listener.now()
         self._linger_until = now + timeouts.MAX_LINGER_S
         self._received_at = now
-        asyncio.get_running_loop().call_later(timeouts.LINGER_S, self._linger)
+        self._linger_timer = asyncio.get_running_loop().call_later(timeouts.LINGER_S, self._linger)
 
     def _linger(self) -> None:
         """Discard input, and close once nothing more arrives and all output is sent."""
@@ -304,7 +305,7 @@
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
         still_receiving = now - self._received_at < timeouts.LINGER_S and now < self._linger_until
         if still_receiving or (unsent and now - self.state_since < timeouts.STREAM_IDLE_TIMEOUT_S):
-            asyncio.get_running_loop().call_later(timeouts.LINGER_S, self._linger)
+            self._linger_timer = asyncio.get_running_loop().call_later(timeouts.LINGER_S, self._linger)
         else:
             self.abort()
 
@@ -336,12 +337,20 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  asyncio's signature
-        """Remove the connection from the listener and abandon its unanswered requests."""
+        """Remove the connection from the listener and abandon its unanswered requests.
+
+        No reference cycle is left, so that the memory is free once its bytes are returned to the budget.
+        """
         self._transport = None
+        self._reader = None
         self.listener.closed(self)
         self._notify_client_gone()
         self._release_sent()
+        self._upload = None
+        self._parser.close()
         self._input.release()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
 
     def _notify_client_gone(self) -> None:
         """Notify the remaining exchanges that their client has disconnected."""
--- a/crowpost/node/http/parser.py
+++ b/crowpost/node/http/parser.py
@@ -95,6 +95,19 @@
         # Messages, headers and parts of bodies in the last call of `feed`, which measure its work.
         self.parts = 0
 
+    def close(self) -> None:
+        """Release everything that the parser holds; nothing can be fed to it afterwards.
+
+        httptools' parser and the receiver refer to this object, which refers to them.  Unless a connection
+        breaks this cycle when it closes, they stay in memory until a full garbage collection.
+        """
+        self._message = None
+        # The traceback of a raised error refers to the frames of this object's methods.
+        self._failure = None
+        self._discard_body()
+        del self._parser
+        del self._receiver
+
     @property
     def message(self) -> Message | None:
         """The message that has begun and is not complete yet."""
--- a/crowpost/node/request_table.py
+++ b/crowpost/node/request_table.py
@@ -98,7 +98,9 @@
         if upload is None:
             self._set_deadline(request_id, pending)
         else:
-            upload.on_received = lambda: self._on_body_received(request_id, request.budget_ms)
+            # The callback must not refer to the request, which refers to the upload.
+            requested_ms = request.budget_ms
+            upload.on_received = lambda: self._on_body_received(request_id, requested_ms)
         exchange.on_client_gone = lambda: self._on_client_gone(request_id)
         self._events.post(
             RequestArrived(
@@ -166,6 +168,8 @@
             if pending.timer is not None:
                 pending.timer.cancel()
             pending.exchange.on_client_gone = None
+            # Attempts that go on refer to the message, whose bytes are no longer reserved.
+            pending.message.body = b""
             self._drop_response_bodies(request, pending)
             if self._events.delivering:
                 self.just_closed[request] = pending
--- a/crowpost/node/upstream/connection.py
+++ b/crowpost/node/upstream/connection.py
@@ -48,7 +48,8 @@
         self._pool = pool
         self._call: Call | None = None
         self._discard_timer: asyncio.TimerHandle | None = None  # timeout of reading and discarding a response
-        self._parser = MessageParser(self, requests=False)
+        # Created with the connection: a dial that fails reports no loss that would break the parser's cycle.
+        self._parser: MessageParser
         self._transport: asyncio.Transport | None = None
         self._reader: ConnectionReader | None = None
         self._sink: BodySink | None = None  # destination of the body of a long response
@@ -64,6 +65,7 @@
         self._transport = cast(asyncio.Transport, transport)
         # Unsent bytes pause an upload at once, so that they are never more than was reserved.
         self._transport.set_write_buffer_limits(0)
+        self._parser = MessageParser(self, requests=False)
         self._reader = ConnectionReader(self._transport, self._pool.reads)
         self._pool.opened(self)
 
@@ -269,7 +271,8 @@
         try:
             self._parser.feed(data)
         except MessageError as error:
-            log.warning("endpoint %s: %s", self.endpoint.name, error)
+            # As text: the traceback of the error refers to this connection.
+            log.warning("endpoint %s: %s", self.endpoint.name, str(error))
             self._malformed = True
         self._finish_call()
 
@@ -291,6 +294,9 @@
             self._pool.keep_alive.record_early_close(self._idle_before_call_s, now)
         self._pool.closed(self)
         self.fail()
+        self._transport = None
+        self._reader = None
+        self._parser.close()
         if self.on_lost is not None:
             self.on_lost()
 
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -169,6 +169,10 @@
     async def __aexit__(self, *_: object) -> None:
         self._server.close()
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections."""
+        self._server.close()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
--- a/tests/node/test_races.py
+++ b/tests/node/test_races.py
@@ -488,7 +488,7 @@
             assert current is not None
             timer = running.node._discovery._timer
             for line in (b"{", b'  "generation": 7,', b"", b'  "reset": true,'):
-                current._on_line(line)
+                current._on_line(current, line)
             assert current.objects.in_object()
             assert running.node._discovery._timer is timer
 
@@ -517,7 +517,7 @@
             running.node._discovery.subscribe()
             await running.discovery.watch()
             assert running.node._discovery._watch is not before
-            before._on_line(json.dumps(listing(9)).encode())
+            before._on_line(before, json.dumps(listing(9)).encode())
             before.connection_lost(None)
             assert not recorder.events and running.node._discovery._version == 0
             assert running.node._discovery._watch is not None
--- a/tests/node/test_watch.py
+++ b/tests/node/test_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from unittest.mock import Mock
 
 import pytest
 
@@ -15,6 +16,13 @@
 READ_BYTES = 256 * 1024
 
 
+def connected_watch(lines: list[bytes]) -> Watch:
+    """Return a watch that appends its lines to this list."""
+    watch = Watch(b"/", b"agent", lambda _, line: lines.append(line), lambda _: None)
+    watch.connection_made(Mock())
+    return watch
+
+
 def chunked(text: bytes, size: int) -> bytes:
     pieces = (text[i : i + size] for i in range(0, len(text), size))
     return b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
@@ -24,7 +32,7 @@
 def test_a_list_in_small_chunks_is_read_within_the_time_for_the_first_line(size: int) -> None:
     """Guards against copying the whole line again for each chunk, which holds up the node for minutes."""
     lines: list[bytes] = []
-    watch = Watch(b"/", b"agent", lines.append, lambda: None)
+    watch = connected_watch(lines)
     expected = [b"x" * LIST_BYTES, b"", b"second"]
     text = HEAD + chunked(b"\n".join(expected) + b"\nrest", size)
     began = time.process_time()
@@ -37,7 +45,7 @@
 @pytest.mark.parametrize("step", [1, 3, 1000])
 def test_lines_are_the_same_for_any_size_of_a_read(step: int) -> None:
     lines: list[bytes] = []
-    watch = Watch(b"/", b"agent", lines.append, lambda: None)
+    watch = connected_watch(lines)
     text = HEAD + chunked(b"first\n\nsecond\n", 4) + b"0\r\n\r\n"
     for i in range(0, len(text), step):
         watch.data_received(text[i : i + step])
