Reserve the bytes of an accepted request once, and never answer it early

Cause: the connection reserved the head of a request with a streamed body a second time, after its acceptance. Change: the parser holds nothing of a message that it streams; a connection has one method to reject input, which fails the exchange of an accepted request; a request gives back only its own bytes; byte_budget.py lists each transition.

--- a/crowpost/node/byte_budget.py
+++ b/crowpost/node/byte_budget.py
@@ -2,6 +2,17 @@
 
 Nothing waits for bytes.  A request reserves what it needs to be carried to its end when it is accepted, or is
 rejected before anything is sent for it; what would only make it faster is reserved if there is room.
+
+The bytes of one request, by its transitions:
+
+| transition | reservation of the connection's input | of the request | of the response |
+| --- | --- | --- | --- |
+| part of it read | the head and the buffered body | | |
+| accepted (`Exchange.try_reserve`) | gives these bytes back | two heads and the body | MIN_BUFFER_BYTES |
+| streamed body attached to an attempt | | STREAM_BUFFER_BYTES or MIN_BUFFER_BYTES | |
+| response begins | | gives all back | up to STREAM_BUFFER_BYTES |
+| response is with the kernel | | | gives all back |
+| connection lost | gives all back | gives all back | gives all back |
 """
 
 from __future__ import annotations
--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -65,10 +65,9 @@
                 self._parser.body_size,
                 ", does not read" if self._write_paused else "",
             )
-        if self._upload is not None and self._exchanges:
-            self._exchanges[-1].fail(408)
-        elif self._parser.in_message and not self._exchanges and not self._discarding:
-            self._respond_early(408)
+        awaits_body = self._upload is not None or (self._parser.in_message and not self._exchanges)
+        if awaits_body and not self._discarding:
+            self._reject_input(408)
         else:
             self.abort()
 
@@ -102,7 +101,7 @@
             self._reject_further_requests()
             return
         self.listener.count_rejection()
-        self._respond_early(503, OVERLOAD_RETRY_AFTER, self.listener.class_index_of(message))
+        self._reject_input(503, OVERLOAD_RETRY_AFTER, self.listener.class_index_of(message))
 
     def receive(self, data: bytes | memoryview) -> None:
         """Parse received bytes."""
@@ -120,16 +119,33 @@
             log.exception("fault while a request was read")
             self._reject_input(500)
 
-    def _reject_input(self, status: int) -> None:
-        """Respond with an error to malformed input, also within the body of a request already accepted."""
-        if self._discarding:
+    def _reject_input(self, status: int, extra: bytes = b"", class_index: int | None = None) -> None:
+        """Respond with an error to the request that is being received, then close.
+
+        A request whose body is streamed was accepted when its body began, so its own exchange fails: a second
+        response would wait behind that exchange, which would wait for the rest of the body.
+
+        extra: complete header lines; class_index: the class of a request that was not accepted, if known.
+        """
+        if self._discarding or self._malformed:
             return
-        upload = self._upload
+        self._malformed = True
+        self._parser.drop_body()
+        uploading = self._uploading_exchange()
         self._upload = None
-        if upload is None:
-            self._respond_early(status)
-        else:
-            self._exchanges[-1].fail(status)
+        if uploading is not None:
+            uploading.fail(status)
+            return
+        exchange = Exchange(self, True)
+        exchange.class_index = class_index
+        self._exchanges.append(exchange)
+        exchange.respond(status, extra=extra)
+
+    def _uploading_exchange(self) -> Exchange | None:
+        """Return the exchange of the request whose streamed body is being received; None if there is none."""
+        if self._upload is None:
+            return None
+        return next((exchange for exchange in self._exchanges if exchange.upload is self._upload), None)
 
     def on_head(self, message: Message) -> None:
         """Check the head of a request whose client waits for 100 Continue before it sends the body."""
@@ -140,7 +156,7 @@
             _check_expectation(message)
             self.listener.check(message)
         except MessageError as error:
-            self._respond_early(error.status)
+            self._reject_input(error.status)
             return
         self._continue_pending = bool(message.content_length) or TRANSFER_ENCODING in message.headers
         self._send_continue()
@@ -228,7 +244,7 @@
             exchange.message = None
             assert message is not None
             # The exchange reserves the bytes of this message from now on.
-            self._input.release()
+            self._input.add(-min(self._input.size, message.size))
             try:
                 self.listener.route(message, exchange)
             except MessageError as error:
@@ -243,18 +259,6 @@
             self._reserve_input()
         self._routing = False
 
-    def _respond_early(self, status: int, extra: bytes = b"", class_index: int | None = None) -> None:
-        """Respond to input that is not accepted as a request, then close.
-
-        extra: complete header lines; class_index: the class of the request, if it is known.
-        """
-        self._malformed = True
-        self._parser.drop_body()
-        exchange = Exchange(self, True)
-        exchange.class_index = class_index
-        self._exchanges.append(exchange)
-        exchange.respond(status, extra=extra)
-
     def flush(self) -> None:
         """Write responses in the order of the requests, up to and including the first incomplete one."""
         transport = self._transport
--- a/crowpost/node/downstream/exchange.py
+++ b/crowpost/node/downstream/exchange.py
@@ -69,10 +69,12 @@
         self._ends_with_connection = False
 
     def try_reserve(self, message: Message) -> bool:
-        """Reserve what the request needs to be carried to its end; return whether there was room."""
+        """Reserve what the request needs to be carried to its end; return whether there was room.
+
+        Nothing that the request needs later is reserved later, so an accepted request never lacks bytes.
+        """
         upload = message.upload
-        body_bytes = len(message.body) if upload is None else upload.buffered_bytes
-        request_bytes = HEAD_COPIES * message.head_bytes + body_bytes
+        request_bytes = message.size + (HEAD_COPIES - 1) * message.head_bytes
         if not self.request_bytes.try_resize(request_bytes):
             return False
         if upload is not None:
--- a/crowpost/node/http/message.py
+++ b/crowpost/node/http/message.py
@@ -77,8 +77,9 @@
 
     @property
     def size(self) -> int:
-        """The bytes that the message holds, without those of a streamed body."""
-        return self.head_bytes + len(self.body)
+        """The bytes that the message holds: its head, and its body or what waits of a streamed one."""
+        body_bytes = len(self.body) if self.upload is None else self.upload.buffered_bytes
+        return self.head_bytes + body_bytes
 
     @property
     def content_length(self) -> int | None:
--- a/crowpost/node/http/parser.py
+++ b/crowpost/node/http/parser.py
@@ -130,8 +130,10 @@
 
     @property
     def held_bytes(self) -> int:
-        """The bytes of the incomplete message that the parser holds."""
-        return self._head_bytes + len(self._buffered) if self._message is not None else 0
+        """The bytes of the incomplete message that the parser holds: none once its receiver has the head."""
+        if self._message is None or self._streaming:
+            return 0
+        return self._head_bytes + len(self._buffered)
 
     @property
     def awaits_unsized_body(self) -> bool:
