Count the deadline of a long body from the time its last byte may have been sent

Cause: the deadline began when the node had read the last byte. While a server reads slowly the node does not read, and the last byte waits in the kernels: callers got the final answer 7.5 s and 31 s after it, with a deadline of 3 s.

--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -81,6 +81,9 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes that were read."""
         filled = nbytes == self._max_read_bytes()
+        upload = self._upload
+        if upload is not None:
+            upload.record_read(nbytes)
         self.receive(self.listener.reads.buffer[:nbytes])
         self._reserve_input()
         if self._reader is not None:
@@ -177,7 +180,13 @@
         """Accept a request whose body is streamed."""
         if self._discarding or self._malformed:
             return
-        upload = Upload(message.body, message.content_length, self._set_upload_reading)
+        upload = Upload(
+            message.body,
+            message.content_length,
+            self._set_upload_reading,
+            reading_since=self.reading_since,
+            now=self.listener.now,
+        )
         self._upload = upload
         message.upload = upload
         message.body = b""
--- a/crowpost/node/downstream/connection_status.py
+++ b/crowpost/node/downstream/connection_status.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -134,6 +135,12 @@
             body_bytes=self._parser.body_size,
         )
 
+    def reading_since(self) -> float:
+        """Return since when the node has read from the client without a pause; infinite in a pause."""
+        if self._reader is None or not self._reader.reading:
+            return math.inf
+        return self._reader.resumed_at
+
     def client_has_left(self) -> bool:
         """Return whether the client has closed the connection while the node does not read from it.
 
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -13,6 +13,7 @@
 from crowpost.node.downstream.connection import OVERLOAD_RETRY_AFTER, ClientConnection
 from crowpost.node.downstream.exchange import Exchange
 from crowpost.node.downstream.request import ClientRequest, RequestParser, is_api_path, normalize_path
+from crowpost.node.http.last_byte import RECEIVE_BUFFER_BYTES
 from crowpost.node.http.message import Message, MessageError
 from crowpost.node.metrics import Metrics
 from crowpost.node.reading import ReadScheduler
@@ -68,7 +69,10 @@
             self._server = await self._loop.create_server(
                 lambda: ClientConnection(self), *at, backlog=BACKLOG, reuse_address=True
             )
-        bound: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
+        listening = self._server.sockets[0]
+        # Accepted connections inherit it: the kernel must not hold megabytes that the node does not see.
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        bound: tuple[str, int] = listening.getsockname()[:2]
         return bound
 
     def stop_accepting(self) -> None:
--- a/crowpost/node/http/body.py
+++ b/crowpost/node/http/body.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from crowpost.node.byte_budget import MIN_BUFFER_BYTES, STREAM_BUFFER_BYTES, Reservation
+from crowpost.node.http.last_byte import LastByteEstimate
 from crowpost.node.reading import READ_BYTES
 
 
@@ -25,11 +26,24 @@
     Reading from the client's connection is paused until an attempt is attached, and while it cannot write.
 
     first: the bytes of the body that arrived with the head; set_reading: pauses or resumes reading from the
-    client's connection.
+    client's connection; reading_since: returns since when the node has read from it without a pause, infinite
+    in a pause; now: returns the time in seconds.
     """
 
-    def __init__(self, first: bytes, length: int | None, set_reading: Callable[[bool], None]) -> None:
+    def __init__(
+        self,
+        first: bytes,
+        length: int | None,
+        set_reading: Callable[[bool], None],
+        *,
+        reading_since: Callable[[], float],
+        now: Callable[[], float],
+    ) -> None:
         self.length = length
+        self._now = now
+        self._reading_since = reading_since
+        self._last_byte = LastByteEstimate(length, now())
+        self._last_byte.record_read(len(first), now(), now())
         # Whether the last byte has been received.
         self.received = False
         # Whether an attempt was attached: the first bytes are no longer buffered, so no other can send them.
@@ -57,6 +71,20 @@
             return MIN_BUFFER_BYTES
         return min(READ_BYTES, max(MIN_BUFFER_BYTES, self.reservation.size))
 
+    def record_read(self, size: int) -> None:
+        """Record a read of this many bytes from the client, before it is passed on."""
+        self._last_byte.record_read(size, self._now(), self._reading_since())
+
+    def max_waited_s(self) -> float:
+        """Return the longest time for which the client can have waited since it sent the last byte.
+
+        Negative infinity if it cannot have sent the last byte yet.
+        """
+        now = self._now()
+        if not self.received:
+            self._last_byte.record_waiting(now, self._reading_since())
+        return now - self._last_byte.earliest()
+
     def feed(self, data: bytes) -> None:
         """Forward a received part to the sink, or buffer it until there is one."""
         if self._sink is not None:
--- a/crowpost/node/reading.py
+++ b/crowpost/node/reading.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 
 # The most bytes of one read.
@@ -55,7 +56,7 @@
 class ConnectionReader:
     """Reads from a transport while neither flow control nor the scheduler has paused it."""
 
-    __slots__ = ("_awaits_turn", "_paused", "_scheduler", "_transport", "last_parts")
+    __slots__ = ("_awaits_turn", "_paused", "_scheduler", "_transport", "last_parts", "resumed_at")
 
     def __init__(self, transport: asyncio.Transport, scheduler: ReadScheduler) -> None:
         self._transport = transport
@@ -64,6 +65,13 @@
         self._awaits_turn = False
         # The work that the last read caused.
         self.last_parts = 0
+        # When reading was last resumed, in seconds of `time.monotonic`.
+        self.resumed_at = 0.0
+
+    @property
+    def reading(self) -> bool:
+        """Whether neither flow control nor the scheduler has paused reading."""
+        return not self._paused and not self._awaits_turn
 
     @property
     def paused(self) -> bool:
@@ -96,10 +104,11 @@
     def _update(self) -> None:
         if self._transport.is_closing():
             return
-        reading = not self._paused and not self._awaits_turn
+        reading = self.reading
         if reading is self._transport.is_reading():
             return
         if reading:
+            self.resumed_at = time.monotonic()
             self._transport.resume_reading()
         else:
             self._transport.pause_reading()
--- a/crowpost/node/request_table.py
+++ b/crowpost/node/request_table.py
@@ -101,6 +101,7 @@
             # The callback must not refer to the request, which refers to the upload.
             requested_ms = request.budget_ms
             upload.on_received = lambda: self._on_body_received(request_id, requested_ms)
+            self._check_upload(request_id)
         exchange.on_client_gone = lambda: self._on_client_gone(request_id)
         self._events.post(
             RequestArrived(
@@ -126,11 +127,33 @@
             (pending.budget_ms + OVERDUE_GRACE_MS) / 1000.0, self._on_overdue, request
         )
 
+    def _check_upload(self, request: RequestId) -> None:
+        """Respond with an error if the time of a request is over before its long body is complete.
+
+        A server may read a body so slowly that its last byte waits for seconds in the buffers of the kernels.
+        """
+        pending = self.pending.get(request)
+        if pending is None or not pending.uploading or pending.streaming_attempt is not None:
+            return
+        assert pending.message.upload is not None
+        left_s = pending.budget_ms / 1000.0 - max(0.0, pending.message.upload.max_waited_s())
+        if left_s > 0.0:
+            pending.timer = self._loop.call_later(left_s, self._check_upload, request)
+            return
+        log.info("request %d: a server has not taken the long body in time", request)
+        self.respond(request, 502 if pending.attempts else 503)
+        self._events.post(RequestAbandoned(request))
+        self._abort_calls(request)
+
     def _on_body_received(self, request: RequestId, requested_ms: float) -> None:
-        """Start the deadline of a request whose long body is complete."""
+        """Start the deadline of a request whose long body is complete: it counts from the last byte."""
         pending = self.pending.get(request)
         if pending is not None and pending.streaming_attempt is None:
-            pending.budget_ms = self._budget_ms(requested_ms)
+            assert pending.message.upload is not None
+            if pending.timer is not None:
+                pending.timer.cancel()
+            waited_ms = 1000.0 * max(0.0, pending.message.upload.max_waited_s())
+            pending.budget_ms = self._budget_ms(requested_ms - waited_ms)
             self._set_deadline(request, pending)
             call = self.calls.get((request, pending.attempts - 1))
             if call is not None:
@@ -214,8 +237,11 @@
         self._events.post(RequestAbandoned(request))
         if pending.uploading or pending.streaming_attempt is not None:
             # The body or response can no longer become complete, whether or not the module cancels it.
-            for key in [key for key in self.calls if key[0] == request]:
-                self.calls[key].abort(Outcome.CANCELLED)
+            self._abort_calls(request)
+
+    def _abort_calls(self, request: RequestId) -> None:
+        for key in [key for key in self.calls if key[0] == request]:
+            self.calls[key].abort(Outcome.CANCELLED)
 
     def _on_overdue(self, request: RequestId) -> None:
         """Respond to a request that the module has left without a response for too long."""
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -38,6 +38,8 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 # A node that holds back the rest of a long answer for longer loses the request.
 MAX_HOLD_S = 2.0
+# An answer this long after its time only earns nothing; a later one is lost.
+ANSWER_SLACK_S = 0.5
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 
 
@@ -602,6 +604,32 @@
     run(main())
 
 
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_server_that_reads_a_long_body_slowly_delays_no_final_answer(chunked: bool) -> None:
+    """Guards against an answer seconds after its time, while the last byte waits in the kernels' buffers."""
+
+    async def main() -> None:
+        with socket.socket() as idle_listener:
+            idle_listener.bind((HOST, 0))
+            idle_listener.listen()  # the kernel accepts connections, but nothing reads from them
+            async with running_node(row("a", f"{HOST}:{idle_listener.getsockname()[1]}")) as running:
+                client = await running.client()
+                loop = asyncio.get_running_loop()
+                head = request("book", body=b"x", deadline="1.0")[:-1]
+                body = LONG * 4
+                if chunked:
+                    head = head.replace(b"Content-Length: 1\r\n", CHUNKED.removesuffix(b"\r\n"))
+                    client.writer.write(head + chunks(body, 100_000))
+                else:
+                    client.writer.write(head.replace(b"Length: 1", b"Length: %d" % len(body)) + body)
+                sent_at = loop.time()
+                assert (await client.answer()).status == 502
+                assert loop.time() - sent_at < 1.0 + ANSWER_SLACK_S
+                assert not running.node._requests.calls
+
+    run(main())
+
+
 async def fill_with_uploads(running: RunningNode) -> tuple[list[Client], Answer]:
     """Begin long bodies and stop in their midst until one is rejected.
 
