Make reads smaller for a client whose tiny requests cause much work

Cause: a read of 16 KiB of pipelined GET /ready holds 400 requests, all answered before anybody else is served. Twenty other clients waited 63 ms in the median beside such a flood instead of 22 ms (trial on real processes). Ruled out: fourteen other floods (docs/incidents/pipelined-requests-at-full-speed.md), 21 to 23 ms, memory constant. Change: a message counts as 16 parts; after a read of more than 1,024 parts the next one is smaller.

--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -76,7 +76,8 @@
         return self.listener.reads.buffer[: self._max_read_bytes()]
 
     def _max_read_bytes(self) -> int:
-        return MIN_BUFFER_BYTES if self._upload is None else self._upload.max_read_bytes
+        limit = MIN_BUFFER_BYTES if self._upload is None else self._upload.max_read_bytes
+        return limit if self._reader is None else self._reader.max_read_bytes(limit)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes that were read."""
--- a/crowpost/node/http/parser.py
+++ b/crowpost/node/http/parser.py
@@ -19,6 +19,7 @@
     Message,
     MessageError,
 )
+from crowpost.node.reading import PARTS_PER_MESSAGE
 
 
 class MessageReceiver(Protocol):
@@ -92,7 +93,7 @@
         self._buffered = bytearray()
         # Bytes of the current body that have been received.
         self.body_size = 0
-        # Messages, headers and parts of bodies in the last call of `feed`, which measure its work.
+        # The work of messages, headers and parts of bodies in the last call of `feed`.
         self.parts = 0
 
     def close(self) -> None:
@@ -199,7 +200,7 @@
         if self._stopped:
             # The exception ends httptools' parsing; `feed` ignores it after `stop`.
             raise MessageError(400, "no further message is parsed")
-        self.parts += 1
+        self.parts += PARTS_PER_MESSAGE
         self._message = Message()
         self._discard_body()
         self.body_size = 0
--- a/crowpost/node/reading.py
+++ b/crowpost/node/reading.py
@@ -2,7 +2,8 @@
 
 A peer can send input faster than it is processed, and in pieces of a byte.  A connection that has caused much
 work, or has more input waiting, is therefore not read from again until its next turn, and the work of all
-turns in one iteration of the event loop is limited.
+turns in one iteration of the event loop is limited.  The reads of such a connection become smaller, as no
+other peer is served before a read has been processed.
 """
 
 from __future__ import annotations
@@ -13,11 +14,16 @@
 
 # The most bytes of one read.
 READ_BYTES = 64 * 1024
-# Work is counted in parsed parts (a piece of a body, a header, a message), of about a microsecond each.
+# Work is counted in parsed parts (a piece of a body, a header), of about a microsecond each.
+# A message is counted as this many parts: it is answered as well.
+PARTS_PER_MESSAGE = 16
 # The work of passing on this many bytes is counted as one part.
 BYTES_PER_PART = 1024
 # A read that caused more work than this ends the turn of its connection.
 MAX_PARTS_PER_READ = 256
+# After a read that caused more work than this, the next one is smaller, but not smaller than MIN_READ_BYTES.
+MAX_PARTS_OF_LARGE_READ = 1024
+MIN_READ_BYTES = 1024
 # The most work that waiting connections may cause in one iteration of the event loop, as far as their last
 # reads predict it.
 MAX_PARTS_PER_ITERATION = 4096
@@ -56,7 +62,15 @@
 class ConnectionReader:
     """Reads from a transport while neither flow control nor the scheduler has paused it."""
 
-    __slots__ = ("_awaits_turn", "_paused", "_scheduler", "_transport", "last_parts", "resumed_at")
+    __slots__ = (
+        "_awaits_turn",
+        "_paused",
+        "_read_limit",
+        "_scheduler",
+        "_transport",
+        "last_parts",
+        "resumed_at",
+    )
 
     def __init__(self, transport: asyncio.Transport, scheduler: ReadScheduler) -> None:
         self._transport = transport
@@ -65,6 +79,8 @@
         self._awaits_turn = False
         # The work that the last read caused.
         self.last_parts = 0
+        # The most bytes of the next read.
+        self._read_limit = READ_BYTES
         # When reading was last resumed, in seconds of `time.monotonic`.
         self.resumed_at = 0.0
 
@@ -84,12 +100,20 @@
             self._paused = paused
             self._update()
 
+    def max_read_bytes(self, limit: int) -> int:
+        """Return the most bytes of the next read, at most `limit`."""
+        return min(limit, self._read_limit)
+
     def finish_read(self, size: int, parts: int, *, filled: bool) -> None:
         """End the turn of the connection after a read that caused much work or left input waiting.
 
         size: the bytes that were read; parts: the parsed parts; filled: whether they filled the buffer.
         """
         self.last_parts = parts + size // BYTES_PER_PART
+        if self.last_parts > MAX_PARTS_OF_LARGE_READ:
+            self._read_limit = max(MIN_READ_BYTES, size * MAX_PARTS_OF_LARGE_READ // self.last_parts)
+        elif self._read_limit < READ_BYTES and self.last_parts < MAX_PARTS_OF_LARGE_READ // 2:
+            self._read_limit = min(READ_BYTES, 2 * self._read_limit)
         if self._awaits_turn or not (filled or self.last_parts > MAX_PARTS_PER_READ):
             return
         self._awaits_turn = True
--- a/crowpost/node/upstream/connection.py
+++ b/crowpost/node/upstream/connection.py
@@ -251,7 +251,8 @@
         buffer = self._call.response_buffer if self._call is not None else None
         if buffer is None:
             return MIN_BUFFER_BYTES
-        return max(1, min(READ_BYTES, buffer.size - self._parser.held_body_bytes))
+        limit = max(1, min(READ_BYTES, buffer.size - self._parser.held_body_bytes))
+        return limit if self._reader is None else self._reader.max_read_bytes(limit)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes that were read."""
