Look into a kept connection before a request is written on it

Cause: a connection was taken as clean 10 ms after its last response, though a late event loop had not read what came since. Ruled out: a longer rest, as a hold-up may be longer than any. Change: UpstreamConnection.carry polls the socket right before the first byte; if anything waits, the connection ends and the call goes to another one.

--- a/crowpost/node/upstream/connection.py
+++ b/crowpost/node/upstream/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 from collections.abc import Callable
 from typing import TYPE_CHECKING, cast
 
@@ -57,6 +58,7 @@
         self._on_flushed: Callable[[], None] | None = None  # callback for an empty write buffer
         self._buffer_timer: asyncio.TimerHandle | None = None
         self._progress_at = 0.0  # time at which part of a long body was last passed on
+        self._poll: select.poll | None = None  # shows whether something waits to be read
         self.on_lost: Callable[[], None] | None = None  # callback of a call that waits for this connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -66,6 +68,10 @@
         # Unsent bytes pause an upload at once, so that they are never more than was reserved.
         self._transport.set_write_buffer_limits(0)
         self._parser = MessageParser(self, requests=False)
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            self._poll = select.poll()
+            self._poll.register(sock.fileno(), select.POLLIN)
         self._reader = ConnectionReader(self._transport, self._pool.reads)
         self._pool.opened(self)
 
@@ -78,9 +84,16 @@
         """Return whether the connection is open and not closing."""
         return self._transport is not None and not self._transport.is_closing()
 
-    def carry(self, call: Call) -> None:
-        """Write the request of a call; from now on the request may have run."""
+    def carry(self, call: Call) -> bool:
+        """Write the request of a call and return True; from now on the request may have run.
+
+        Return False, and close the connection, if bytes or the end of the stream wait to be read: they are no
+        response to a request that has not been written.
+        """
         assert self._transport is not None
+        if self._input_waits():
+            self.abort()
+            return False
         now = asyncio.get_running_loop().time()
         self._call = call
         call.connection = self
@@ -100,6 +113,11 @@
             call.upload.attach(self)
         elif call.on_written is not None:
             call.on_written()
+        return True
+
+    def _input_waits(self) -> bool:
+        """Return whether the socket has bytes, the end of the stream or an error to read."""
+        return self._poll is not None and bool(self._poll.poll(0))
 
     def write_body(self, data: bytes) -> None:
         """Write part of a long request body."""
--- a/crowpost/node/upstream/pool.py
+++ b/crowpost/node/upstream/pool.py
@@ -110,7 +110,8 @@
             if may_be_stale and self._probe_request is not None:
                 self._probe_then_carry(connection, call, self._probe_request)
             elif connection.idle_since <= reusable_since:
-                connection.carry(call)
+                if not connection.carry(call):
+                    continue
             else:
                 self._carry_after_delay(connection, call)
             return
@@ -129,7 +130,9 @@
             elif not call.finished:
                 self.dial_for(endpoint, call)
 
-        connection.carry(Call(lambda _: probe, self.connect_timeout_s, on_probed))
+        probe_call = Call(lambda _: probe, self.connect_timeout_s, on_probed)
+        if not connection.carry(probe_call):
+            probe_call.finish(Outcome.CONNECT_FAILED)
 
     def _carry_after_delay(self, connection: UpstreamConnection, call: Call) -> None:
         """Carry the call once the connection has been idle for `REUSE_DELAY_S`.
@@ -191,8 +194,15 @@
         elif call.finished or not call.may_write():
             self.release(connection)
             call.finish(Outcome.NOT_SENT)
+        elif not connection.carry(call):
+            self._carry_elsewhere(connection, call)
+
+    def _carry_elsewhere(self, connection: UpstreamConnection, call: Call) -> None:
+        """Carry a call on a new connection, as unread bytes have made this one useless."""
+        if connection.used:
+            self.dial_for(connection.endpoint, call)
         else:
-            connection.carry(call)
+            call.finish(Outcome.CONNECT_FAILED)
 
     def opened(self, connection: UpstreamConnection) -> None:
         """Register a connection that was established."""
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import os
 import socket
+import time
 from collections.abc import AsyncIterator
 
 import pytest
@@ -15,7 +17,7 @@
 from crowpost.node.http.message import Message
 from crowpost.node.upstream.call import Call
 from crowpost.node.upstream.keep_alive import KeepAlive
-from crowpost.node.upstream.pool import ConnectionPool
+from crowpost.node.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.node.stubs import (
     HOST,
     WAIT_TIMEOUT_S,
@@ -26,9 +28,11 @@
     listing,
     raw,
     reply,
+    request,
     reset,
     row,
     run,
+    running_node,
     unresponsive,
 )
 
@@ -433,3 +437,83 @@
             assert not calls.pool.discarding and server.opened == 3
 
     run(main())
+
+
+# ---------------------------------------------------------------- unread input on kept connections
+
+
+class TalkativeServer:
+    """A server that answers each request with its target, and sends more when the test says so."""
+
+    def __init__(self) -> None:
+        self.sockets: list[socket.socket] = []
+        self.targets: list[str] = []
+
+    async def behave(self, _: StubServer, got: Received, writer: asyncio.StreamWriter) -> None:
+        self.sockets.append(writer.get_extra_info("socket"))
+        self.targets.append(got.target)
+        body = got.target.encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def send_now(self, text: bytes) -> None:
+        """Send bytes on the connection of the last request, without a turn of the event loop."""
+        os.write(self.sockets[-1].fileno(), text)
+
+    def close_now(self) -> None:
+        """End the stream of the connection of the last request, without a turn of the event loop."""
+        with socket.socket(fileno=os.dup(self.sockets[-1].fileno())) as same:
+            same.shutdown(socket.SHUT_WR)
+
+
+def hold_up_event_loop() -> None:
+    """Make the event loop late, so that it has not read what waits when the next request is due."""
+    time.sleep(2 * REUSE_DELAY_S)
+
+
+SECOND_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign"
+
+
+@pytest.mark.parametrize("rested", [False, True])
+@pytest.mark.parametrize("late", ["answer", "interim", "bytes", "end"])
+def test_what_a_server_sends_after_its_response_is_no_response_to_the_next_request(
+    late: str, rested: bool
+) -> None:
+    """Guards against a second answer that is passed on to the caller of another request."""
+    texts = {"answer": SECOND_ANSWER, "interim": b"HTTP/1.1 100 Continue\r\n\r\n", "bytes": b"x"}
+
+    async def main() -> None:
+        talkative = TalkativeServer()
+        server = StubServer([talkative.behave])
+        async with server, running_node(row("a", server.address)) as running:
+            client = await running.client()
+            assert (await client.ask("book", target="/api/1")).body == b"/api/1"
+            pool = running.node._pool
+            ended: asyncio.Future[tuple[Outcome, Message | None]] = asyncio.get_running_loop().create_future()
+            call = Call(
+                lambda _: request("book", target="/api/2"),
+                WAIT_TIMEOUT_S,
+                lambda outcome, message: ended.set_result((outcome, message)),
+                on_response_start=lambda *_: None,
+                response_buffer=Reservation(running.node._listener.budget),
+            )
+            assert call.response_buffer is not None and call.response_buffer.try_resize(MIN_BUFFER_BYTES)
+            if rested:
+                running.age(REUSE_DELAY_S)
+            else:
+                pool.start(call, b"a")
+            if late == "end":
+                talkative.close_now()
+            else:
+                talkative.send_now(texts[late])
+            hold_up_event_loop()
+            if rested:
+                pool.start(call, b"a")
+            outcome, message = await asyncio.wait_for(ended, WAIT_TIMEOUT_S)
+            if outcome is Outcome.CONNECT_FAILED and not rested:
+                assert talkative.targets == ["/api/1"], "the request was written"
+                return
+            assert outcome is Outcome.OK and message is not None and message.body == b"/api/2"
+            assert talkative.targets == ["/api/1", "/api/2"]
+            assert server.opened == 2
+
+    run(main())
