--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING, cast
 
 from crowpost.node.byte_budget import MIN_BUFFER_BYTES
-from crowpost.node.downstream import pipeline, timeouts
+from crowpost.node.downstream import pipeline
 from crowpost.node.downstream.connection_status import ConnectionStatus
 from crowpost.node.downstream.exchange import Exchange
+from crowpost.node.downstream.linger import LingeringClose
 from crowpost.node.downstream.sockets import reset_on_close
 from crowpost.node.http.body import Upload
 from crowpost.node.http.message import EXPECT, TRANSFER_ENCODING, Message, MessageError
@@ -36,8 +37,7 @@
         self._parser = MessageParser(self, requests=True)
         # Whether the client waits for 100 Continue.
         self._continue_pending = False
-        self._linger_until = 0.0
-        self._linger_timer: asyncio.TimerHandle | None = None
+        self._lingering_close: LingeringClose | None = None
         self._routing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -309,19 +309,8 @@
         if self._transport.can_write_eof():
             self._transport.write_eof()
         now = self.listener.now()
-        self._linger_until = now + timeouts.MAX_LINGER_S
         self._received_at = now
-        self._linger_timer = asyncio.get_running_loop().call_later(timeouts.LINGER_S, self._linger)
-
-    def _linger(self) -> None:
-        """Discard input, and close once nothing more arrives and all output is sent."""
-        now = self.listener.now()
-        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
-        still_receiving = now - self._received_at < timeouts.LINGER_S and now < self._linger_until
-        if still_receiving or (unsent and now - self.state_since < timeouts.STREAM_IDLE_TIMEOUT_S):
-            self._linger_timer = asyncio.get_running_loop().call_later(timeouts.LINGER_S, self._linger)
-        else:
-            self.abort()
+        self._lingering_close = LingeringClose(self, now)
 
     def on_client_left(self) -> None:
         """Close a connection whose client has closed its end, and abandon its requests."""
@@ -363,8 +352,9 @@
         self._upload = None
         self._parser.close()
         self._input.release()
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
+        if self._lingering_close is not None:
+            self._lingering_close.cancel()
+            self._lingering_close = None
 
     def _notify_client_gone(self) -> None:
         """Notify the remaining exchanges that their client has disconnected."""
--- a/crowpost/node/downstream/connection_status.py
+++ b/crowpost/node/downstream/connection_status.py
@@ -135,6 +135,17 @@
             body_bytes=self._parser.body_size,
         )
 
+    def has_recent_activity(self, *, receiving_until: float) -> bool:
+        """Return whether the client has just sent something or has yet to read the last output.
+
+        receiving_until: the time from which it does not matter what the client sends.
+        """
+        now = self.listener.now()
+        if now - self._received_at < timeouts.LINGER_S and now < receiving_until:
+            return True
+        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return unsent and now - self.state_since < timeouts.STREAM_IDLE_TIMEOUT_S
+
     def reading_since(self) -> float:
         """Return since when the node has read from the client without a pause; infinite in a pause."""
         if self._reader is None or not self._reader.reading:
--- a/crowpost/node/downstream/interfaces.py
+++ b/crowpost/node/downstream/interfaces.py
@@ -52,6 +52,16 @@
         """Close immediately; with `reset`, send a TCP reset."""
 
 
+class LingeringConnection(Protocol):
+    """The part of a client connection that its lingering close uses."""
+
+    def has_recent_activity(self, *, receiving_until: float) -> bool:
+        """Return whether the client has just sent something or has yet to read the last output."""
+
+    def abort(self, *, reset: bool = False) -> None:
+        """Close immediately; with `reset`, send a TCP reset."""
+
+
 class ConnectionListener(ExchangeListener, Protocol):
     """The part of the listener that a client connection uses."""
 
