Reserve the space of the shared tables, and serve where a receive buffer cannot be set

Cause: by reading: a write to a mapping without space in its file system ends the process, and an error of setsockopt would have kept a node from starting. Change: posix_fallocate, whose error leaves the process a table of its own; the error of setsockopt is ignored.

--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 import time
@@ -71,7 +72,9 @@
             )
         listening = self._server.sockets[0]
         # Accepted connections inherit it: the kernel must not hold megabytes that the node does not see.
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # Without it an answer may come late, which is no reason not to serve.
+        with contextlib.suppress(OSError):
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         bound: tuple[str, int] = listening.getsockname()[:2]
         return bound
 
--- a/crowpost/node/sent_requests.py
+++ b/crowpost/node/sent_requests.py
@@ -11,6 +11,7 @@
 import fcntl
 import logging
 import mmap
+import os
 from enum import Enum
 from hashlib import blake2b
 from pathlib import Path
@@ -169,7 +170,8 @@
     for index in range(MAX_PROCESSES):
         name = f"sent-requests-{identity_of(node.encode()):016x}.{index}"
         with (directory / name).open("a+b") as file:
-            file.truncate(TABLE_BYTES)
+            # Reserves the space: a write to a mapping without space would end the process.
+            os.posix_fallocate(file.fileno(), 0, TABLE_BYTES)
             # The mapping has a descriptor of its own, which holds the lock until the process ends.
             table = IdentityTable(mmap.mmap(file.fileno(), TABLE_BYTES))
             if own is None and _try_lock(file.fileno()):
--- a/tests/node/test_sent_requests.py
+++ b/tests/node/test_sent_requests.py
@@ -102,6 +102,12 @@
     assert another.try_add((1,), 0.0) is AddResult.ADDED
 
 
+def test_a_directory_that_cannot_be_used_leaves_the_process_a_table_of_its_own(tmp_path: Path) -> None:
+    table = open_sent_requests(LIFETIME_MS, tmp_path / "missing", "n0")
+    assert table.try_add((1,), 0.0) is AddResult.ADDED
+    assert table.contains(1)
+
+
 # ---------------------------------------------------------------- one node
 
 
