Check the time of a long body only after the decision module knows its request

Cause: seen by reading the change before: an upload whose time was over when its turn came was closed before RequestArrived was posted, so the module kept a request that nobody waits for, and its attempt.

--- a/crowpost/node/request_table.py
+++ b/crowpost/node/request_table.py
@@ -104,9 +104,7 @@
     def add(self, request: ClientRequest, exchange: Exchange) -> None:
         """Add a valid request of a client, which must get exactly one response."""
         identities = self._identities(request)
-        if any(
-            self._pending_identities.__contains__(i) or self._sent_requests.contains(i) for i in identities
-        ):
+        if any(map(self._is_known, identities)):
             exchange.respond(REPEATED)
             return
         self._pending_identities.update(identities)
@@ -128,7 +126,6 @@
             # The callback must not refer to the request, which refers to the upload.
             requested_ms = request.budget_ms
             upload.on_received = lambda: self._on_body_received(request_id, requested_ms)
-            self._check_upload(request_id)
         exchange.on_client_gone = lambda: self._on_client_gone(request_id)
         self._events.post(
             RequestArrived(
@@ -142,6 +139,7 @@
                 body_streamed=upload is not None,
             )
         )
+        self._check_upload(request_id)
 
     def _identities(self, request: ClientRequest) -> tuple[int, ...]:
         """Return the identities under which a request must not run again; none if that does no harm.
@@ -160,6 +158,10 @@
             return (identity, identity_of(b"key " + headers[IDEMPOTENCY_KEY]))
         return (identity,)
 
+    def _is_known(self, identity: int) -> bool:
+        """Return whether a request of this identity is pending or may have run."""
+        return identity in self._pending_identities or self._sent_requests.contains(identity)
+
     def begin_sending(self, pending: PendingRequest) -> AddResult:
         """Remember a request before its first attempt, which must be sent only if the result is ADDED."""
         if pending.attempts or not pending.identities:
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -12,6 +12,7 @@
 from crowpost.node.downstream import listener, timeouts
 from crowpost.node.downstream.connection import ClientConnection
 from crowpost.node.downstream.timeouts import FIRST_BODY_PAUSE_S, FIRST_BYTE_TIMEOUT_S, FIRST_HEAD_TIMEOUT_S
+from crowpost.node.http.body import Upload
 from crowpost.node.http.message import MAX_BODY, Message, MessageError
 from crowpost.node.http.parser import MessageParser
 from crowpost.node.upstream import connection as upstream_connection
@@ -630,6 +631,24 @@
     run(main())
 
 
+def test_an_upload_whose_time_is_over_when_its_turn_comes_is_answered_and_forgotten(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a request that ends before the decision module has been told of it."""
+    monkeypatch.setattr(Upload, "max_waited_s", lambda _: WAIT_TIMEOUT_S)
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, running_node(row("a", server.address)) as running:
+            client = await running.client()
+            client.writer.write(request("book", body=LONG)[:200_000])
+            assert (await client.answer()).status in (502, 503)
+            assert not running.node._requests.pending and not running.node._balancer._table.requests
+            assert not server.received
+
+    run(main())
+    assert "fault" not in caplog.text and "failed on" not in caplog.text
+
+
 async def fill_with_uploads(running: RunningNode) -> tuple[list[Client], Answer]:
     """Begin long bodies and stop in their midst until one is rejected.
 
