--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -31,7 +31,7 @@
 from crowpost.node.metrics import Metrics
 from crowpost.node.reading import ReadScheduler
 from crowpost.node.request_table import RequestTable
-from crowpost.node.sent_requests import open_sent_requests
+from crowpost.node.sent_requests import open_sent_requests, slots_for
 from crowpost.node.upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -101,6 +101,7 @@
             max(max(each.deadline_ms, each.idempotency_window_ms) for each in config.settings.classes),
             config.shared_directory,
             config.name,
+            slots_for(memory_limit),
         )
         self._requests = RequestTable(config.settings, self._clock, self._events, host, sent_requests)
         self._listener = Listener(
--- a/crowpost/node/sent_requests.py
+++ b/crowpost/node/sent_requests.py
@@ -18,13 +18,16 @@
 
 log = logging.getLogger(__name__)
 
-# The places of one generation of identities, a power of two, and how many of them may be used.
-SLOTS = 1 << 15
-MAX_USED = SLOTS * 3 // 4
+# The fewest and the most places of one generation of identities, and the share of them that may be used.
+MIN_SLOTS = 1 << 13
+MAX_SLOTS = 1 << 17
+MAX_USED_FRACTION = 0.75
+# The share of the memory limit that the two generations may take.
+MEMORY_FRACTION = 1 / 48
 WORD_BYTES = 8
+GENERATIONS = 2
 # A table begins with the time of its last rotation in ms and the index of its current generation.
 _ROTATED_AT, _CURRENT, _HEADER_WORDS = 0, 1, 2
-TABLE_BYTES = WORD_BYTES * (_HEADER_WORDS + 2 * SLOTS)
 _EMPTY, _REMOVED = 0, 2**64 - 1
 
 # The processes that may serve one address at the same time.
@@ -47,14 +50,29 @@
     return value if value not in (_EMPTY, _REMOVED) else 1
 
 
+def slots_for(memory_limit: float) -> int:
+    """Return the places of one generation, a power of two, for a memory limit in bytes."""
+    slots = MAX_SLOTS
+    while slots > MIN_SLOTS and GENERATIONS * WORD_BYTES * slots > MEMORY_FRACTION * memory_limit:
+        slots //= 2
+    return slots
+
+
+def table_bytes(slots: int) -> int:
+    """Return the size of a table, in bytes."""
+    return WORD_BYTES * (_HEADER_WORDS + GENERATIONS * slots)
+
+
 class IdentityTable:
     """The identities that one process has added, in two generations of an open-addressing hash table.
 
-    memory: TABLE_BYTES bytes, zero at first.
+    memory: `table_bytes(slots)` bytes, zero at first.
     """
 
-    def __init__(self, memory: mmap.mmap) -> None:
+    def __init__(self, memory: mmap.mmap, slots: int) -> None:
         self._words = memoryview(memory).cast("Q")
+        self._slots = slots
+        self._max_used = int(MAX_USED_FRACTION * slots)
         self._used = 0
 
     def contains(self, identity: int) -> bool:
@@ -63,7 +81,7 @@
 
     def is_full(self) -> bool:
         """Return whether the current generation has no room."""
-        return self._used >= MAX_USED
+        return self._used >= self._max_used
 
     def add(self, identity: int) -> None:
         """Add an identity; there must be room."""
@@ -93,22 +111,23 @@
     def recover(self) -> None:
         """Continue a table that an earlier process has left."""
         start = self._start(self._words[_CURRENT])
-        self._used = SLOTS - self._words[start : start + SLOTS].tolist().count(_EMPTY)
+        self._used = self._slots - self._words[start : start + self._slots].tolist().count(_EMPTY)
 
-    @staticmethod
-    def _start(generation: int) -> int:
-        return _HEADER_WORDS + generation * SLOTS
+    def _start(self, generation: int) -> int:
+        return _HEADER_WORDS + generation * self._slots
 
     def _clear(self, generation: int) -> None:
         start = self._start(generation)
-        self._words[start : start + SLOTS] = memoryview(bytes(WORD_BYTES * SLOTS)).cast("Q")
+        self._words[start : start + self._slots] = memoryview(bytes(WORD_BYTES * self._slots)).cast("Q")
 
     def _find(self, generation: int, identity: int) -> int:
         """Return the place of an identity, or the empty place where it would be added."""
+        words = self._words
+        slots = self._slots
         start = self._start(generation)
-        slot = identity % SLOTS
-        while self._words[start + slot] not in (_EMPTY, identity):
-            slot = (slot + 1) % SLOTS
+        slot = identity % slots
+        while words[start + slot] not in (_EMPTY, identity):
+            slot = (slot + 1) % slots
         return start + slot
 
 
@@ -151,29 +170,31 @@
             self._own.remove(identity)
 
 
-def open_sent_requests(lifetime_ms: float, directory: Path | None, node: str) -> SentRequests:
+def open_sent_requests(lifetime_ms: float, directory: Path | None, node: str, slots: int) -> SentRequests:
     """Return an empty table, or one that is shared with the other process of this node.
 
-    directory: where the shared files are; None if there is no other process.
+    directory: where the shared files are; None if there is no other process; slots: the places of one
+    generation, the same in both processes.
     """
     if directory is not None:
         try:
-            return _open_shared(lifetime_ms, directory, node)
+            return _open_shared(lifetime_ms, directory, node, slots)
         except OSError as error:
             log.warning("requests sent by the other process are not known: %s", error)
-    return SentRequests(IdentityTable(mmap.mmap(-1, TABLE_BYTES)), [], lifetime_ms)
+    return SentRequests(IdentityTable(mmap.mmap(-1, table_bytes(slots)), slots), [], lifetime_ms)
 
 
-def _open_shared(lifetime_ms: float, directory: Path, node: str) -> SentRequests:
+def _open_shared(lifetime_ms: float, directory: Path, node: str, slots: int) -> SentRequests:
+    size = table_bytes(slots)
     own: IdentityTable | None = None
     others = []
     for index in range(MAX_PROCESSES):
-        name = f"sent-requests-{identity_of(node.encode()):016x}.{index}"
+        name = f"sent-requests-{identity_of(node.encode()):016x}-{slots}.{index}"
         with (directory / name).open("a+b") as file:
             # Reserves the space: a write to a mapping without space would end the process.
-            os.posix_fallocate(file.fileno(), 0, TABLE_BYTES)
+            os.posix_fallocate(file.fileno(), 0, size)
             # The mapping has a descriptor of its own, which holds the lock until the process ends.
-            table = IdentityTable(mmap.mmap(file.fileno(), TABLE_BYTES))
+            table = IdentityTable(mmap.mmap(file.fileno(), size), slots)
             if own is None and _try_lock(file.fileno()):
                 table.recover()
                 own = table
--- a/tests/node/test_sent_requests.py
+++ b/tests/node/test_sent_requests.py
@@ -13,10 +13,15 @@
 from crowpost.node import sent_requests
 from crowpost.node.sent_requests import (
     MAX_PROCESSES,
+    MAX_SLOTS,
+    MEMORY_FRACTION,
+    MIN_SLOTS,
     AddResult,
     SentRequests,
     identity_of,
     open_sent_requests,
+    slots_for,
+    table_bytes,
 )
 from tests.node.processes import logged_address, node_configuration, node_environment, start_node
 from tests.node.stubs import (
@@ -36,19 +41,20 @@
 )
 
 LIFETIME_MS = 1000.0
+SLOTS = MIN_SLOTS
 ID = "9b1f03aa5c7e2d41"
 OK = reply("200 OK", b"served")
 
 
 def shared(directory: Path) -> SentRequests:
-    return open_sent_requests(LIFETIME_MS, directory, "n0")
+    return open_sent_requests(LIFETIME_MS, directory, "n0", SLOTS)
 
 
 # ---------------------------------------------------------------- the table
 
 
 def test_an_identity_is_known_for_its_lifetime_and_forgotten_later() -> None:
-    table = open_sent_requests(LIFETIME_MS, None, "n0")
+    table = open_sent_requests(LIFETIME_MS, None, "n0", SLOTS)
     first, second = identity_of(b"1"), identity_of(b"2")
     assert table.try_add((first,), 10_000.0) is AddResult.ADDED
     assert table.try_add((first,), 10_000.0 + LIFETIME_MS - 1) is AddResult.KNOWN
@@ -59,9 +65,16 @@
     assert table.try_add((second,), 20_000.0) is AddResult.ADDED
 
 
+@pytest.mark.parametrize("memory_mb", [32, 64, 128, 192, 10_000])
+def test_a_table_takes_a_small_share_of_the_memory(memory_mb: int) -> None:
+    slots = slots_for(memory_mb * 1_000_000)
+    assert MIN_SLOTS <= slots <= MAX_SLOTS
+    assert table_bytes(slots) <= MEMORY_FRACTION * memory_mb * 1_000_000
+
+
 def test_a_full_table_refuses_and_forgets_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(sent_requests, "MAX_USED", 100)
-    table = open_sent_requests(LIFETIME_MS, None, "n0")
+    monkeypatch.setattr(sent_requests, "MAX_USED_FRACTION", 100 / SLOTS)
+    table = open_sent_requests(LIFETIME_MS, None, "n0", SLOTS)
     identities = [identity_of(b"%d" % number) for number in range(101)]
     assert {table.try_add((each,), 5000.0) for each in identities[:100]} == {AddResult.ADDED}
     assert table.try_add((identities[100],), 5001.0) is AddResult.FULL
@@ -70,8 +83,8 @@
 
 
 def test_identities_with_the_same_place_are_kept_apart_and_removed_alone() -> None:
-    table = open_sent_requests(LIFETIME_MS, None, "n0")
-    identities = [7 + number * sent_requests.SLOTS for number in range(5)]
+    table = open_sent_requests(LIFETIME_MS, None, "n0", SLOTS)
+    identities = [7 + number * SLOTS for number in range(5)]
     for each in identities:
         assert table.try_add((each,), 0.0) is AddResult.ADDED
     table.remove((identities[1],))
@@ -103,7 +116,7 @@
 
 
 def test_a_directory_that_cannot_be_used_leaves_the_process_a_table_of_its_own(tmp_path: Path) -> None:
-    table = open_sent_requests(LIFETIME_MS, tmp_path / "missing", "n0")
+    table = open_sent_requests(LIFETIME_MS, tmp_path / "missing", "n0", SLOTS)
     assert table.try_add((1,), 0.0) is AddResult.ADDED
     assert table.contains(1)
 
@@ -170,7 +183,7 @@
 
 
 def test_requests_beyond_the_bound_of_the_table_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(sent_requests, "MAX_USED", 3)
+    monkeypatch.setattr(sent_requests, "MAX_USED_FRACTION", 3 / MAX_SLOTS)
 
     async def main() -> None:
         async with StubServer([OK]) as server, running_node(row("a", server.address)) as running:
