--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -117,7 +117,7 @@
         try:
             self._parser.feed(data)
         except MessageError as error:
-            log.info("client sent a malformed request: %s", error)
+            self.listener.refusals.count(f"client sent a malformed request: {error}")
             self._reject_input(error.status)
         except Exception:
             log.exception("fault while a request was read")
@@ -259,7 +259,7 @@
                 self.listener.route(message, exchange)
             except MessageError as error:
                 # A client may send thousands of invalid requests at once: close after the first response.
-                log.info("client sent a request that is not served: %s", error)
+                self.listener.refusals.count(f"client sent a request that is not served: {error}")
                 exchange.close_after = True
                 exchange.respond(error.status)
             except Exception:
--- a/crowpost/node/downstream/interfaces.py
+++ b/crowpost/node/downstream/interfaces.py
@@ -10,6 +10,7 @@
 from crowpost.node.byte_budget import ByteBudget
 from crowpost.node.downstream.connection import ClientConnection
 from crowpost.node.downstream.exchange import Exchange
+from crowpost.node.downstream.refusals import RefusalLog
 from crowpost.node.http.message import Message
 from crowpost.node.metrics import Metrics
 from crowpost.node.reading import ReadScheduler
@@ -66,6 +67,7 @@
     """The part of the listener that a client connection uses."""
 
     reads: ReadScheduler
+    refusals: RefusalLog
 
     def opened(self, connection: ClientConnection) -> None:
         """Register an accepted connection."""
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -13,6 +13,7 @@
 from crowpost.node.byte_budget import ByteBudget
 from crowpost.node.downstream.connection import OVERLOAD_RETRY_AFTER, ClientConnection
 from crowpost.node.downstream.exchange import Exchange
+from crowpost.node.downstream.refusals import RefusalLog
 from crowpost.node.downstream.request import ClientRequest, RequestParser, is_api_path, normalize_path
 from crowpost.node.http.last_byte import RECEIVE_BUFFER_BYTES
 from crowpost.node.http.message import Message, MessageError
@@ -55,6 +56,7 @@
         self.budget = budget
         # Requests rejected since the last sweep because the connection or memory limit was reached.
         self._rejected = 0
+        self.refusals = RefusalLog()
         self._loop = asyncio.get_running_loop()
         self._connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
@@ -146,6 +148,7 @@
                 self.budget.reserved,
             )
             self._rejected = 0
+        self.refusals.write()
         for connection in [c for c in self._connections if c.has_timed_out(now)]:
             connection.time_out()
         for connection in [c for c in self._connections if c.client_has_left()]:
@@ -180,6 +183,7 @@
     def close(self) -> None:
         """Stop accepting and close all connections immediately."""
         self._sweeper.cancel()
+        self.refusals.write()
         self.stop_accepting()
         for connection in list(self._connections):
             connection.abort()
