Never wait for the reader of the log

Cause: logging's stream handler writes from the event loop, and a write to a full pipe waits. The commands of membership and of the feed had the same handler.

Change: crowpost/log_output.py writes only what can be written at once, to a descriptor of its own that does not block, and counts and logs what was dropped.

--- a/crowpost/__main__.py
+++ b/crowpost/__main__.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import gc
-import logging
 import os
 import sys
 
 import uvloop
 
+from crowpost import log_output
 from crowpost.node.configuration import Config, ConfigError, load
 from crowpost.node.node import Node
 
@@ -23,7 +23,7 @@
 
 def main() -> int:
     """Run the node; return 0 after SIGTERM, and 2 with one line on standard error for a bad configuration."""
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    log_output.install()
     try:
         config = load(os.environ)
         uvloop.run(_serve(config))
--- a/crowpost/config_feed/command.py
+++ b/crowpost/config_feed/command.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import signal
 import sys
 
 import uvloop
 
+from crowpost import log_output
 from crowpost.config_feed.configuration import FeedConfig, load
 from crowpost.config_feed.documents import Document
 from crowpost.config_feed.errors import FeedError
@@ -61,7 +61,7 @@
     # The only place where this package depends on the node.
     from crowpost.node.configuration_overlays import make_check
 
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    log_output.install()
     restored = "--restored" in arguments
     files = [argument for argument in arguments if argument != "--restored"]
     if len(files) != 1:
--- a/crowpost/membership/command.py
+++ b/crowpost/membership/command.py
@@ -6,13 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import os
 import signal
 import sys
 
 import uvloop
 
+from crowpost import log_output
 from crowpost.membership.configuration import MembershipConfig, load
 from crowpost.membership.errors import MembershipError
 from crowpost.membership.model import Phase
@@ -37,7 +37,7 @@
 
 def main(arguments: list[str]) -> int:
     """Return exit code 0 after a regular stop, or 2 and print one line for invalid arguments or settings."""
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    log_output.install()
     if len(arguments) != 1:
         print(f"usage: python -m {COMMAND} FILE", file=sys.stderr)
         return EXIT_INVALID_CONFIGURATION
--- a/tests/node/processes.py
+++ b/tests/node/processes.py
@@ -15,9 +15,9 @@
 
 
 async def start_node(
-    environment: dict[str, str], pass_fds: tuple[int, ...] = ()
+    environment: dict[str, str], pass_fds: tuple[int, ...] = (), log: int = asyncio.subprocess.PIPE
 ) -> asyncio.subprocess.Process:
-    """Start a node; its log is a pipe, which has to be read."""
+    """Start a node; its log is a pipe, which has to be read, unless another descriptor is given."""
     command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     return await asyncio.create_subprocess_exec(
         "/bin/sh",
@@ -25,7 +25,7 @@
         command,
         cwd=ROOT,
         env={**os.environ, **environment},
-        stderr=asyncio.subprocess.PIPE,
+        stderr=log,
         pass_fds=pass_fds,
     )
 
