Count the deadline of a request from the arrival of its last byte

Callers saw (real processes, shim and SIGSTOP): a request that waited 0.5 s unread, because the node was held up or could not accept its connection, was sent on with its whole deadline: a server was told 1.971 s where the client had 1.490 s left. With holds of 0.15 s the excess was 0.14 s, just below the slack of 0.15 s.

Cause: the time of a request began when the node read it. The kernel knows when the bytes came.

Ruled out: the rendering of X-Deadline, which is computed right before the write, and the reserve of 25 ms.

Change: the time that the last bytes of a request had waited (tcpi_last_data_recv of TCP_INFO) counts as time that has passed; a request whose time is over is refused unsent. Where the system does not tell, nothing changes.

--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -12,7 +12,7 @@
 from crowpost.node.downstream.connection_status import ConnectionStatus
 from crowpost.node.downstream.exchange import Exchange
 from crowpost.node.downstream.linger import LingeringClose
-from crowpost.node.downstream.sockets import reset_on_close
+from crowpost.node.downstream.sockets import reset_on_close, unread_s
 from crowpost.node.http.body import Upload
 from crowpost.node.http.message import EXPECT, TRANSFER_ENCODING, Message, MessageError
 from crowpost.node.http.parser import MessageParser
@@ -109,7 +109,8 @@
 
     def receive(self, data: bytes | memoryview) -> None:
         """Parse received bytes."""
-        self._received_at = self.listener.now()
+        self._previous_read_at = self._read_at
+        self._received_at = self._read_at = self.listener.now()
         if self._discarding or self._malformed:
             return
         if not self._parser.in_message:
@@ -223,13 +224,17 @@
         exchange = Exchange(self, not message.keep_alive, message.version)
         exchange.upload = message.upload
         exchange.message = message
+        exchange.arrived_at -= self._waited_s()
         self._exchanges.append(exchange)
         self._route()
 
-    def _may_accept(self, message: Message) -> bool:
-        if not self._exchanges:
-            return True
-        return not self._exchanges[-1].close_after and not pipeline.exceeds_limits(self._exchanges, message)
+    def _waited_s(self) -> float:
+        """Return how long the bytes of the last read had waited, in seconds."""
+        if self._transport is None:
+            return 0.0
+        waited_s = unread_s(self._transport)
+        # On a connection that was read before, no bytes can have waited since an earlier read.
+        return min(waited_s, self._read_at - self._previous_read_at)
 
     def _reject_further_requests(self) -> None:
         """Close after the response to the last accepted request, and discard all further input.
--- a/crowpost/node/downstream/connection_status.py
+++ b/crowpost/node/downstream/connection_status.py
@@ -56,6 +56,9 @@
         self._upload_paused = False
         # When bytes last arrived, or reading of a streamed body was paused or resumed.
         self._received_at = 0.0
+        # When bytes were last read, and when before that; in the infinite past before the first read.
+        self._read_at = -math.inf
+        self._previous_read_at = -math.inf
         # When the head of the current request was complete.
         self._head_complete_at = 0.0
 
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -203,7 +203,10 @@
         waited_s = 0.0 if message.upload is not None else self.now() - exchange.arrived_at
         request = self._request_parser.parse(message, path, waited_s)
         exchange.class_index = request.class_index
-        if self.over_limit() or not exchange.try_reserve(message):
+        if request.budget_ms <= 0.0:
+            # Its time was over before it was read; nothing has been sent for it.
+            exchange.respond(503)
+        elif self.over_limit() or not exchange.try_reserve(message):
             self.count_rejection()
             exchange.close_after = True
             exchange.respond(503, extra=OVERLOAD_RETRY_AFTER)
--- a/crowpost/node/downstream/sockets.py
+++ b/crowpost/node/downstream/sockets.py
@@ -9,6 +9,13 @@
 
 from crowpost.node.configuration import ConfigError
 
+# The place of tcpi_last_data_recv (in ms) in `struct tcp_info` of Linux, and how much of that is read.
+LAST_DATA_RECEIVED = struct.Struct("=I")
+LAST_DATA_RECEIVED_OFFSET = 52
+TCP_INFO_BYTES = LAST_DATA_RECEIVED_OFFSET + LAST_DATA_RECEIVED.size
+# Requests that have waited longer are past any time at which an answer would count.
+MAX_UNREAD_MS = 3_600_000
+
 
 def adopt_listening_socket(descriptor: int) -> socket.socket:
     """Return the listening socket that this process inherited.
@@ -35,6 +42,23 @@
     return bool(poll.poll(0))
 
 
+def unread_s(transport: asyncio.Transport) -> float:
+    """Return how long ago the newest bytes of a connection arrived, in seconds; 0 if that is not known.
+
+    A process that was held up, or a full queue of connections, leaves bytes waiting that the node only then
+    reads.  The kernel has the time in steps of a few milliseconds (struct tcp_info, tcpi_last_data_recv).
+    """
+    try:
+        info = transport.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+        milliseconds: int = LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_OFFSET)[0]
+    except (OSError, struct.error):
+        return 0.0
+    # Without any bytes the kernel gives the time since its start.
+    return milliseconds / 1000.0 if milliseconds <= MAX_UNREAD_MS else 0.0
+
+
 def reset_on_close(transport: asyncio.Transport) -> None:
     """Make the close of this transport send a TCP reset and drop unsent output."""
     sock = transport.get_extra_info("socket")
--- a/tests/node/processes.py
+++ b/tests/node/processes.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import re
 import tomllib
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +32,21 @@
     )
 
 
+def kill(process: asyncio.subprocess.Process) -> None:
+    """Kill the process if it has not ended."""
+    if process.returncode is None:
+        process.kill()
+
+
+@contextlib.asynccontextmanager
+async def running_process(process: asyncio.subprocess.Process) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Kill the process in the end if it runs then."""
+    try:
+        yield process
+    finally:
+        kill(process)
+
+
 def node_configuration(*servers: StubServer, memory_mb: int = 192, sockets: int = 1024) -> dict[str, Any]:
     """Return the content of a configuration file, with these servers as the last known ones."""
     rows = [row(chr(ord("a") + index), server.address) for index, server in enumerate(servers)]
--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -30,7 +30,7 @@
 from crowpost.node.http.message import MAX_BODY, Message
 from crowpost.node.http.parser import MessageParser
 from crowpost.node.node import CLIENT_SOCKET_FRACTION, ENDPOINT_SOCKET_FRACTION
-from tests.node.processes import logged_address, node_configuration, node_environment, start_node
+from tests.node.processes import kill, logged_address, node_configuration, node_environment, start_node
 from tests.node.stubs import (
     WAIT_TIMEOUT_S,
     Behaviour,
@@ -105,12 +105,6 @@
     return 1024 * int(found[1])
 
 
-def kill(process: asyncio.subprocess.Process) -> None:
-    """Kill the process if it has not ended."""
-    if process.returncode is None:
-        process.kill()
-
-
 async def send_and_stop(address: tuple[str, int], text: bytes) -> socket.socket:
     """Send this on a new connection with a small receive buffer, and read nothing."""
     loop = asyncio.get_running_loop()
--- a/tests/node/test_soak.py
+++ b/tests/node/test_soak.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from crowpost.node.http.message import MAX_BODY
-from tests.node.processes import logged_address, node_configuration, node_environment, start_node
+from tests.node.processes import kill, logged_address, node_configuration, node_environment, start_node
 from tests.node.stubs import (
     WAIT_TIMEOUT_S,
     Client,
@@ -25,7 +25,7 @@
     StubServer,
     request,
 )
-from tests.node.test_memory import CLIENTS, MAX_MEMORY_BYTES, MEMORY_MB, SOCKETS, kill, own_memory_bytes
+from tests.node.test_memory import CLIENTS, MAX_MEMORY_BYTES, MEMORY_MB, SOCKETS, own_memory_bytes
 
 SOAK_S = float(os.environ.get("CROWPOST_SOAK_S", "20"))
 SEED = 54
