Look whether the client has left right before each attempt is written

Cause: a client's close was looked up only while the node did not read from it, or when the event loop had delivered the end of the stream. After a hold-up a retry, or the request itself, comes before that. A connection whose end had been read but whose transport was still closing counted as present. The last look came up to 0.1 ms of processor time before the write.

Ruled out: attempts that were written before the hold and arrived late (the arrival is the kernel's time at the server).

Change: the socket is looked at for each attempt, also where the node reads from it; a closing connection has no client; UpstreamConnection.carry asks Call.may_write right before the write, after rendering, and says in a typed result why nothing was written.

--- a/crowpost/node/downstream/connection.py
+++ b/crowpost/node/downstream/connection.py
@@ -319,7 +319,8 @@
 
     def on_client_left(self) -> None:
         """Close a connection whose client has closed its end, and abandon its requests."""
-        log.info("a client has left while its long body waited")
+        if self._upload_paused:
+            log.info("a client has left while its long body waited")
         self._discarding = True
         self._notify_client_gone()
         self.abort()
--- a/crowpost/node/downstream/connection_status.py
+++ b/crowpost/node/downstream/connection_status.py
@@ -155,11 +155,13 @@
             return math.inf
         return self._reader.resumed_at
 
-    def client_has_left(self) -> bool:
-        """Return whether the client has closed the connection while the node does not read from it.
+    def is_unread(self) -> bool:
+        """Return whether reading is paused: the node is not told then that the client has left."""
+        transport = self._transport
+        return transport is not None and not transport.is_reading() and not transport.is_closing()
 
-        The transport reports the end of the stream only after the bytes before it have been read.
-        """
-        if self._transport is None or self._transport.is_reading() or self._transport.is_closing():
-            return False
+    def client_has_left(self) -> bool:
+        """Return whether the client has closed its end, even if the node has not read up to there."""
+        if self._transport is None or self._transport.is_closing():
+            return True
         return peer_has_closed(self._transport)
--- a/crowpost/node/downstream/interfaces.py
+++ b/crowpost/node/downstream/interfaces.py
@@ -41,7 +41,7 @@
         """Return whether output of this exchange can be written to the client now."""
 
     def client_has_left(self) -> bool:
-        """Return whether the client has closed the connection while the node does not read from it."""
+        """Return whether the client has closed its end, even if the node has not read up to there."""
 
     def on_client_left(self) -> None:
         """Close the connection after `client_has_left` has found that the client closed its end."""
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -151,7 +151,7 @@
         self.refusals.write()
         for connection in [c for c in self._connections if c.has_timed_out(now)]:
             connection.time_out()
-        for connection in [c for c in self._connections if c.client_has_left()]:
+        for connection in [c for c in self._connections if c.is_unread() and c.client_has_left()]:
             connection.on_client_left()
 
     def close_idle(self, min_idle_s: float) -> None:
--- a/crowpost/node/upstream/connection.py
+++ b/crowpost/node/upstream/connection.py
@@ -6,6 +6,7 @@
 import logging
 import select
 from collections.abc import Callable
+from enum import Enum
 from typing import TYPE_CHECKING, cast
 
 from crowpost.decision_api import Outcome
@@ -32,6 +33,16 @@
 STREAM_BUFFER_DELAY_S = 0.25
 
 
+class CarryResult(Enum):
+    """What came of writing the request of a call to a connection."""
+
+    WRITTEN = "written"
+    # Bytes or the end of the stream wait to be read: they are no response to a request that was not written.
+    CONNECTION_USELESS = "connection useless"
+    # The client has left, the request has its response, or the window for a repeat is over.
+    NOT_WANTED = "not wanted"
+
+
 class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection to an endpoint, which carries one call at a time.
 
@@ -84,17 +95,20 @@
         """Return whether the connection is open and not closing."""
         return self._transport is not None and not self._transport.is_closing()
 
-    def carry(self, call: Call) -> bool:
-        """Write the request of a call and return True; from now on the request may have run.
+    def carry(self, call: Call) -> CarryResult:
+        """Write the request of a call; if the result is WRITTEN, it may have run from now on.
 
-        Return False, and close the connection, if bytes or the end of the stream wait to be read: they are no
-        response to a request that has not been written.
+        The last look at whether it may be written comes right before the write: a process that is held up in
+        between would send a request for a client that has left.
         """
         assert self._transport is not None
         if self._input_waits():
             self.abort()
-            return False
+            return CarryResult.CONNECTION_USELESS
         now = asyncio.get_running_loop().time()
+        text = call.render(call.deadline - now)
+        if not call.may_write():
+            return CarryResult.NOT_WANTED
         self._call = call
         call.connection = self
         call.written = call.upload is None
@@ -108,12 +122,12 @@
             else "on a new connection"
         )
         self._call_count += 1
-        self._transport.write(call.render(call.deadline - now))
+        self._transport.write(text)
         if call.upload is not None:
             call.upload.attach(self)
         elif call.on_written is not None:
             call.on_written()
-        return True
+        return CarryResult.WRITTEN
 
     def _input_waits(self) -> bool:
         """Return whether the socket has bytes, the end of the stream or an error to read."""
--- a/crowpost/node/upstream/pool.py
+++ b/crowpost/node/upstream/pool.py
@@ -11,7 +11,7 @@
 from crowpost.node.http.message import Message
 from crowpost.node.reading import ReadScheduler
 from crowpost.node.upstream.call import Call
-from crowpost.node.upstream.connection import Endpoint, UpstreamConnection
+from crowpost.node.upstream.connection import CarryResult, Endpoint, UpstreamConnection
 from crowpost.node.upstream.endpoint import EndpointConnections
 from crowpost.node.upstream.keep_alive import KeepAlive
 from crowpost.node.upstream.race import ConnectionRace, OnDialled
@@ -110,8 +110,12 @@
             if may_be_stale and self._probe_request is not None:
                 self._probe_then_carry(connection, call, self._probe_request)
             elif connection.idle_since <= reusable_since:
-                if not connection.carry(call):
-                    continue
+                match connection.carry(call):
+                    case CarryResult.CONNECTION_USELESS:
+                        continue
+                    case CarryResult.NOT_WANTED:
+                        self.return_unused(connection)
+                        self._loop.call_soon(call.finish, Outcome.NOT_SENT)
             else:
                 self._carry_after_delay(connection, call)
             return
@@ -131,7 +135,7 @@
                 self.dial_for(endpoint, call)
 
         probe_call = Call(lambda _: probe, self.connect_timeout_s, on_probed)
-        if not connection.carry(probe_call):
+        if connection.carry(probe_call) is not CarryResult.WRITTEN:
             probe_call.finish(Outcome.CONNECT_FAILED)
 
     def _carry_after_delay(self, connection: UpstreamConnection, call: Call) -> None:
@@ -191,11 +195,18 @@
             call.finish(Outcome.CONNECT_FAILED)
         elif not connection.usable():
             call.finish(Outcome.CONNECT_FAILED)
-        elif call.finished or not call.may_write():
+        elif call.finished:
             self.release(connection)
-            call.finish(Outcome.NOT_SENT)
-        elif not connection.carry(call):
-            self._carry_elsewhere(connection, call)
+        else:
+            self._carry_if_wanted(connection, call)
+
+    def _carry_if_wanted(self, connection: UpstreamConnection, call: Call) -> None:
+        match connection.carry(call):
+            case CarryResult.CONNECTION_USELESS:
+                self._carry_elsewhere(connection, call)
+            case CarryResult.NOT_WANTED:
+                self.release(connection)
+                call.finish(Outcome.NOT_SENT)
 
     def _carry_elsewhere(self, connection: UpstreamConnection, call: Call) -> None:
         """Carry a call on a new connection, as unread bytes have made this one useless."""
