Leave connections waiting while accepting one fails

Callers saw (real processes, shim): with ENFILE in 3 of 100 accepts 44 of 2,248 requests got no answer, with EMFILE 40 of 2,235: their connections were closed unread. With ENFILE in every accept the node used a whole core (4.4 million calls in 4 s).

Cause: the event loop's library (libuv) answers ENFILE and EMFILE by accepting and closing what waits (uv__emfile_trick), and polls again without a pause after other errors. The server of asyncio offers no way around it.

Ruled out: ECONNABORTED, ENOBUFS, ENOMEM, EPERM, EINTR, ENETDOWN and EPROTO in one of ten accepts lost nothing before either.

Change: crowpost/node/downstream/acceptor.py accepts on the listening socket itself. After EMFILE, ENFILE, ENOBUFS or ENOMEM connections wait in the queue for 10 ms, after EMFILE one dispensable connection is closed. Failures are counted (edge_node_accept_failures) and logged once a second at most. The admin server accepts the same way.

--- a/crowpost/node/admin.py
+++ b/crowpost/node/admin.py
@@ -8,12 +8,14 @@
 from dataclasses import dataclass
 from typing import cast
 
+from crowpost.node.downstream.acceptor import Acceptor, listening_socket
 from crowpost.node.http.message import Message, MessageError
 from crowpost.node.http.parser import MessageParser
 from crowpost.node.http.rendering import render_response
 
 log = logging.getLogger(__name__)
 
+BACKLOG = 128
 # The time for a whole call, from connecting on: peers that send nothing hold descriptors.
 CALL_TIMEOUT_S = 2.0
 # How long input is discarded after the response: a close with unread input sends a reset, which could reach
@@ -137,15 +139,13 @@
         self._max_connections = max_connections
         # The open connections, oldest first.
         self._connections: dict[_AdminConnection, None] = {}
-        self._server: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
 
-    async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """Listen on this address only; return it with the port that was bound."""
-        host, port = address
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: _AdminConnection(self), host, port, reuse_address=True
-        )
-        bound: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
+        listening = listening_socket(address, BACKLOG)
+        self._acceptor = Acceptor(listening, lambda: _AdminConnection(self))
+        bound: tuple[str, int] = listening.getsockname()[:2]
         return bound
 
     def handle(self, message: Message) -> AdminResponse | Awaitable[AdminResponse]:
@@ -169,7 +169,8 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
+            self._acceptor = None
         for connection in list(self._connections):
             connection.abort()
--- /dev/null
+++ b/crowpost/node/downstream/acceptor.py
@@ -0,0 +1,121 @@
+"""Accepts connections on a listening socket; while that fails, they wait in the socket's queue.
+
+The event loop's own server accepts and closes waiting connections when descriptors run out (ENFILE, EMFILE),
+and tries again without a pause while memory for a socket is lacking.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import socket
+import time
+from collections.abc import Callable
+
+log = logging.getLogger(__name__)
+
+# The most connections that are accepted in one iteration of the event loop.
+MAX_ACCEPTS_PER_TURN = 64
+# The pause after a failure for which nothing but time or a closed connection helps.
+RETRY_S = 0.01
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# The least time between two lines of the log about failures.
+LOG_INTERVAL_S = 1.0
+
+
+def listening_socket(address: tuple[str, int], backlog: int) -> socket.socket:
+    """Return a socket that listens on this address; raise OSError if that is not possible."""
+    host, port = address
+    family, kind, protocol, _, resolved = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
+    listening = socket.socket(family, kind, protocol)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(resolved)
+        listening.listen(backlog)
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
+class Acceptor:
+    """Accepts the connections of one listening socket, which it closes in the end.
+
+    make_protocol: returns the protocol of a new connection; on_exhausted: closes a dispensable connection, if
+    there is one.
+    """
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        make_protocol: Callable[[], asyncio.BaseProtocol],
+        on_exhausted: Callable[[], None] = lambda: None,
+    ) -> None:
+        listening.setblocking(False)
+        self._listening = listening
+        self._make_protocol = make_protocol
+        self._on_exhausted = on_exhausted
+        self._loop = asyncio.get_running_loop()
+        self._opening: set[asyncio.Task[None]] = set()
+        self._retry: asyncio.TimerHandle | None = None
+        # The failures to accept, in all and since they were last logged.
+        self.failures = 0
+        self._unlogged = 0
+        self._logged_at = -LOG_INTERVAL_S
+        self._loop.add_reader(listening, self._accept_waiting)
+
+    def close(self) -> None:
+        """Accept nothing more; connections that were accepted stay open."""
+        self._loop.remove_reader(self._listening)
+        if self._retry is not None:
+            self._retry.cancel()
+        self._listening.close()
+
+    def _accept_waiting(self) -> None:
+        for _ in range(MAX_ACCEPTS_PER_TURN):
+            try:
+                accepted, _ = self._listening.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._count_failure(error)
+                if error.errno in EXHAUSTED:
+                    self._pause(error)
+                    return
+                # Any other error is that of a connection that broke before it was accepted (accept(2)).
+                continue
+            self._open(accepted)
+
+    def _open(self, accepted: socket.socket) -> None:
+        task = self._loop.create_task(self._connect(accepted))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+
+    async def _connect(self, accepted: socket.socket) -> None:
+        try:
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await self._loop.connect_accepted_socket(self._make_protocol, accepted)
+        except OSError as error:
+            self._count_failure(error)
+            accepted.close()
+
+    def _pause(self, error: OSError) -> None:
+        """Leave connections waiting for a moment."""
+        if error.errno == errno.EMFILE:
+            self._on_exhausted()
+        self._loop.remove_reader(self._listening)
+        self._retry = self._loop.call_later(RETRY_S, self._resume)
+
+    def _resume(self) -> None:
+        self._retry = None
+        self._loop.add_reader(self._listening, self._accept_waiting)
+
+    def _count_failure(self, error: OSError) -> None:
+        self.failures += 1
+        self._unlogged += 1
+        now = time.monotonic()
+        if now - self._logged_at >= LOG_INTERVAL_S:
+            log.warning("accepting a connection failed %d times, last: %s", self._unlogged, error)
+            self._unlogged = 0
+            self._logged_at = now
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -11,6 +11,7 @@
 
 from crowpost.decision_api import Settings
 from crowpost.node.byte_budget import ByteBudget
+from crowpost.node.downstream.acceptor import Acceptor, listening_socket
 from crowpost.node.downstream.connection import OVERLOAD_RETRY_AFTER, ClientConnection
 from crowpost.node.downstream.exchange import Exchange
 from crowpost.node.downstream.refusals import RefusalLog
@@ -59,32 +60,32 @@
         self.refusals = RefusalLog()
         self._loop = asyncio.get_running_loop()
         self._connections: set[ClientConnection] = set()
-        self._server: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
+        # Failures to accept of acceptors that are closed.
+        self._earlier_accept_failures = 0
         self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    async def listen(self, at: tuple[str, int] | socket.socket) -> tuple[str, int]:
+    def listen(self, at: tuple[str, int] | socket.socket) -> tuple[str, int]:
         """Accept on this address only, or on a socket that already listens; return the bound address."""
         if isinstance(at, socket.socket):
-            self._server = await self._loop.create_server(
-                lambda: ClientConnection(self), sock=at, backlog=BACKLOG
-            )
+            listening = at
+            listening.listen(BACKLOG)
         else:
-            self._server = await self._loop.create_server(
-                lambda: ClientConnection(self), *at, backlog=BACKLOG, reuse_address=True
-            )
-        listening = self._server.sockets[0]
+            listening = listening_socket(at, BACKLOG)
         # Accepted connections inherit it: the kernel must not hold megabytes that the node does not see.
         # Without it an answer may come late, which is no reason not to serve.
         with contextlib.suppress(OSError):
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._acceptor = Acceptor(listening, lambda: ClientConnection(self), self._evict_one)
         bound: tuple[str, int] = listening.getsockname()[:2]
         return bound
 
     def stop_accepting(self) -> None:
         """Stop accepting connections: other processes that share the listening socket take them."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        if self._acceptor is not None:
+            self._earlier_accept_failures += self._acceptor.failures
+            self._acceptor.close()
+            self._acceptor = None
 
     @staticmethod
     def now() -> float:
@@ -96,7 +97,12 @@
 
     def listening(self) -> bool:
         """Return whether the listener accepts connections."""
-        return self._server is not None and self._server.is_serving()
+        return self._acceptor is not None
+
+    def accept_failures(self) -> int:
+        """Return how often accepting a connection has failed."""
+        current = self._acceptor.failures if self._acceptor is not None else 0
+        return self._earlier_accept_failures + current
 
     def opened(self, connection: ClientConnection) -> None:
         """Register an accepted connection, and close another one if there are too many."""
@@ -117,7 +123,7 @@
         """Count a request that was rejected because the connection or memory limit was reached."""
         self._rejected += 1
 
-    def _evict_one(self, newest: ClientConnection) -> None:
+    def _evict_one(self, newest: ClientConnection | None = None) -> None:
         """Close the least useful connection that may be closed: clients must not use up all descriptors."""
         for may_close in (
             ClientConnection.is_finished,
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -188,13 +188,13 @@
         self._reload_if_replaced()
         if self._config.management is not None:
             try:
-                self.admin_address = await self._admin.listen(self._config.management)
+                self.admin_address = self._admin.listen(self._config.management)
             except OSError as error:
                 raise ConfigError(f"NODE_MANAGEMENT cannot be used: {error}") from error
             log.info("node %s is managed on %s:%d", self._config.name, *self.admin_address)
         await self._start_membership()
         if self._config.accept_fd is None:
-            await self._accept(self._config.listen)
+            self._accept(self._config.listen)
         elif self._inherited_socket is not None:
             # The socket is None if discovery has already sent a list and the socket is accepted from.
             self._address = self._inherited_socket.getsockname()[:2]
@@ -261,8 +261,8 @@
         self._config_feed = NodeConfigFeed(self._config.feed, self._config.overlays, self._apply_reloadable)
         self._config_feed.start()
 
-    async def _accept(self, at: tuple[str, int] | socket.socket) -> None:
-        self._address = await self._listener.listen(at)
+    def _accept(self, at: tuple[str, int] | socket.socket) -> None:
+        self._address = self._listener.listen(at)
         log.info("node %s listens on %s:%d", self._config.name, *self._address)
 
     def _on_initial_list_done(self) -> None:
@@ -272,7 +272,7 @@
         if self._inherited_socket is not None and self._pool.has_endpoints() and not terminating:
             inherited = self._inherited_socket
             self._inherited_socket = None
-            self._accept_task = self._loop.create_task(self._accept(inherited))
+            self._accept(inherited)
 
     def ready(self) -> bool:
         """Return whether the node is ready for client traffic."""
@@ -366,7 +366,8 @@
             active=self._requests.active_count(),
             pool_size=balancer.pool_size,
             pool_ejected=balancer.pool_ejected,
-            more={
+            more={"accept_failures": self._listener.accept_failures()}
+            | {
                 name: value
                 for part in (self._membership, self._state_writer, self._config_feed)
                 if part is not None
