Share the table of sent requests between processes with different memory limits

Callers would see (shown on the tables, not on an upgrade of real processes): a send request that comes again at the other process of an upgrade runs a second time if the new configuration has another memory limit.

Test: test_processes_with_different_memory_limits_know_what_the_other_one_has_sent failed before (ADDED in place of KNOWN).

--- a/crowpost/node/sent_requests.py
+++ b/crowpost/node/sent_requests.py
@@ -174,7 +174,7 @@
     """Return an empty table, or one that is shared with the other process of this node.
 
     directory: where the shared files are; None if there is no other process; slots: the places of one
-    generation, the same in both processes.
+    generation, unless an earlier process has decided.
     """
     if directory is not None:
         try:
@@ -185,7 +185,6 @@
 
 
 def _open_shared(lifetime_ms: float, directory: Path, node: str, slots: int) -> SentRequests:
-    size = table_bytes(slots)
     own: IdentityTable | None = None
     others = []
     for index in range(MAX_PROCESSES):
@@ -211,3 +210,16 @@
     except BlockingIOError:
         return False
     return True
+            # The first process decides: the processes of an upgrade may have different memory limits.
+            slots = _slots_of(os.fstat(file.fileno()).st_size) or slots
+            size = table_bytes(slots)
+def _slots_of(size: int) -> int | None:
+    """Return the places of one generation in a file of this size; None if it is not the size of a table."""
+    slots = MIN_SLOTS
+    while slots <= MAX_SLOTS:
+        if table_bytes(slots) == size:
+            return slots
+        slots *= 2
+    return None
+
+
--- a/tests/node/test_sent_requests.py
+++ b/tests/node/test_sent_requests.py
@@ -54,6 +54,43 @@
 
 
 def test_an_identity_is_known_for_its_lifetime_and_forgotten_later() -> None:
+def test_an_identity_is_forgotten_in_time_where_nothing_else_is_added(tmp_path: Path) -> None:
+    """Guards against a table that is only read: its own, and that of a process that has ended."""
+    ended, reader = shared(tmp_path), shared(tmp_path)
+    assert ended.try_add((identity_of(b"1"),), 10_000.0) is AddResult.ADDED
+    for table in (ended, reader):
+        assert table.contains(identity_of(b"1"), 10_000.0 + LIFETIME_MS)
+        assert not table.contains(identity_of(b"1"), 10_000.0 + 2 * LIFETIME_MS)
+
+
+def test_an_identity_that_is_not_added_because_the_other_process_adds_it_too_is_not_kept(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    one, two = shared(tmp_path), shared(tmp_path)
+    identity = identity_of(b"1")
+    add = IdentityTable.add
+
+    def add_in_both(table: IdentityTable, added: int) -> None:
+        monkeypatch.setattr(IdentityTable, "add", add)
+        add(table, added)
+        add(two._own, added)
+
+    monkeypatch.setattr(IdentityTable, "add", add_in_both)
+    assert one.try_add((identity,), 0.0) is AddResult.KNOWN
+    two.remove((identity,))
+    assert not one.contains(identity, 0.0)
+
+
+def test_processes_with_different_memory_limits_know_what_the_other_one_has_sent(tmp_path: Path) -> None:
+    """Guards against a request that runs twice in an upgrade to another memory limit."""
+    one = open_sent_requests(LIFETIME_MS, tmp_path, "n0", SLOTS)
+    two = open_sent_requests(LIFETIME_MS, tmp_path, "n0", 4 * SLOTS)
+    assert one.try_add((identity_of(b"1"),), 0.0) is AddResult.ADDED
+    assert two.try_add((identity_of(b"1"),), 0.0) is AddResult.KNOWN
+    assert two.try_add((identity_of(b"2"),), 0.0) is AddResult.ADDED
+    assert one.contains(identity_of(b"2"), 0.0)
+
+
     table = open_sent_requests(LIFETIME_MS, None, "n0", SLOTS)
     first, second = identity_of(b"1"), identity_of(b"2")
     assert table.try_add((first,), 10_000.0) is AddResult.ADDED
