Forget sent requests in time, also in a table that nobody writes

Where both processes added one id at the same moment, the own entry stayed although nothing was sent.

Cause: a table was rotated only when something was added to it; try_add returned without undoing its own entry.

Change: a look-up takes the age of each generation from the table's header and the time; try_add removes what it added when it does not return ADDED. At most one of two processes sends then: the one that looks second finds the entry of the first gone or not, never both gone after both were seen.

Assertions of the others are unchanged; a look-up names its time.

--- a/crowpost/node/request_table.py
+++ b/crowpost/node/request_table.py
@@ -104,10 +104,11 @@
     def add(self, request: ClientRequest, exchange: Exchange) -> None:
         """Add a valid request of a client, which must get exactly one response."""
         identities = self._identities(request)
-        if any(map(self._is_known, identities)):
-            exchange.respond(REPEATED)
-            return
-        self._pending_identities.update(identities)
+        if identities:
+            if any(map(self._is_known, identities)):
+                exchange.respond(REPEATED)
+                return
+            self._pending_identities.update(identities)
         self._last_id += 1
         request_id = self._last_id
         budget_ms = self._budget_ms(request.budget_ms)
@@ -160,7 +161,8 @@
 
     def _is_known(self, identity: int) -> bool:
         """Return whether a request of this identity is pending or may have run."""
-        return identity in self._pending_identities or self._sent_requests.contains(identity)
+        now_ms = 1000.0 * self._loop.time()
+        return identity in self._pending_identities or self._sent_requests.contains(identity, now_ms)
 
     def begin_sending(self, pending: PendingRequest) -> AddResult:
         """Remember a request before its first attempt, which must be sent only if the result is ADDED."""
--- a/crowpost/node/sent_requests.py
+++ b/crowpost/node/sent_requests.py
@@ -75,9 +75,18 @@
         self._max_used = int(MAX_USED_FRACTION * slots)
         self._used = 0
 
-    def contains(self, identity: int) -> bool:
-        """Return whether an identity is in either generation."""
-        return any(self._words[self._find(generation, identity)] == identity for generation in (0, 1))
+    def contains(self, identity: int, now_ms: int, lifetime_ms: int) -> bool:
+        """Return whether an identity was added, and not more than one to two lifetimes ago.
+
+        The process of a table that is only read may have ended, so that nobody rotates it.
+        """
+        age_ms = now_ms - self._words[_ROTATED_AT]
+        if age_ms >= 2 * lifetime_ms:
+            return False
+        current = self._words[_CURRENT]
+        if self._words[self._find(current, identity)] == identity:
+            return True
+        return age_ms < lifetime_ms and self._words[self._find(1 - current, identity)] == identity
 
     def is_full(self) -> bool:
         """Return whether the current generation has no room."""
@@ -124,10 +133,12 @@
         """Return the place of an identity, or the empty place where it would be added."""
         words = self._words
         slots = self._slots
-        start = self._start(generation)
+        start = _HEADER_WORDS + generation * slots
         slot = identity % slots
-        while words[start + slot] not in (_EMPTY, identity):
+        found = words[start + slot]
+        while found != identity and found != _EMPTY:  # noqa: PLR1714  a tuple costs more, at each request
             slot = (slot + 1) % slots
+            found = words[start + slot]
         return start + slot
 
 
@@ -143,24 +154,33 @@
         self._others = others
         self._lifetime_ms = int(lifetime_ms)
 
-    def contains(self, identity: int) -> bool:
-        """Return whether an attempt of such a request was begun."""
-        return self._own.contains(identity) or any(table.contains(identity) for table in self._others)
-
-    def try_add(self, identities: tuple[int, ...], now_ms: float) -> AddResult:
-        """Add the identities of a request whose first attempt begins; nothing changes unless it is ADDED.
+    def contains(self, identity: int, now_ms: float) -> bool:
+        """Return whether an attempt of such a request was begun, by this or the other process.
 
         now_ms: monotonic time, the same clock in all processes.
         """
-        self._own.rotate(int(now_ms), self._lifetime_ms)
-        if any(map(self.contains, identities)):
-            return AddResult.KNOWN
+        now = int(now_ms)
+        return self._own.contains(identity, now, self._lifetime_ms) or self._was_added_elsewhere(
+            identity, now
+        )
+
+    def _was_added_elsewhere(self, identity: int, now_ms: int) -> bool:
+        return any(table.contains(identity, now_ms, self._lifetime_ms) for table in self._others)
+
+    def try_add(self, identities: tuple[int, ...], now_ms: float) -> AddResult:
+        """Add the identities of a request whose first attempt begins; nothing changes unless it is ADDED."""
+        now = int(now_ms)
+        self._own.rotate(now, self._lifetime_ms)
+        for identity in identities:
+            if self.contains(identity, now):
+                return AddResult.KNOWN
         if self._own.is_full():
             return AddResult.FULL
         for identity in identities:
             self._own.add(identity)
-        # The other process may have added the same at the same time: then neither sends it.
-        if any(table.contains(identity) for table in self._others for identity in identities):
+        if self._others and any(self._was_added_elsewhere(identity, now) for identity in identities):
+            # The other process has added one at the same moment: at most one of the two sends it.
+            self.remove(identities)
             return AddResult.KNOWN
         return AddResult.ADDED
 
@@ -188,8 +208,11 @@
     own: IdentityTable | None = None
     others = []
     for index in range(MAX_PROCESSES):
-        name = f"sent-requests-{identity_of(node.encode()):016x}-{slots}.{index}"
+        name = f"sent-requests-{identity_of(node.encode()):016x}.{index}"
         with (directory / name).open("a+b") as file:
+            # The first process decides: the processes of an upgrade may have different memory limits.
+            slots = _slots_of(os.fstat(file.fileno()).st_size) or slots
+            size = table_bytes(slots)
             # Reserves the space: a write to a mapping without space would end the process.
             os.posix_fallocate(file.fileno(), 0, size)
             # The mapping has a descriptor of its own, which holds the lock until the process ends.
@@ -204,15 +227,6 @@
     return SentRequests(own, others, lifetime_ms)
 
 
-def _try_lock(descriptor: int) -> bool:
-    try:
-        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        return False
-    return True
-            # The first process decides: the processes of an upgrade may have different memory limits.
-            slots = _slots_of(os.fstat(file.fileno()).st_size) or slots
-            size = table_bytes(slots)
 def _slots_of(size: int) -> int | None:
     """Return the places of one generation in a file of this size; None if it is not the size of a table."""
     slots = MIN_SLOTS
@@ -223,3 +237,9 @@
     return None
 
 
+def _try_lock(descriptor: int) -> bool:
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return False
+    return True
--- a/tests/node/test_sent_requests.py
+++ b/tests/node/test_sent_requests.py
@@ -17,6 +17,7 @@
     MEMORY_FRACTION,
     MIN_SLOTS,
     AddResult,
+    IdentityTable,
     SentRequests,
     identity_of,
     open_sent_requests,
@@ -53,7 +54,6 @@
 # ---------------------------------------------------------------- the table
 
 
-def test_an_identity_is_known_for_its_lifetime_and_forgotten_later() -> None:
 def test_an_identity_is_forgotten_in_time_where_nothing_else_is_added(tmp_path: Path) -> None:
     """Guards against a table that is only read: its own, and that of a process that has ended."""
     ended, reader = shared(tmp_path), shared(tmp_path)
@@ -91,14 +91,15 @@
     assert one.contains(identity_of(b"2"), 0.0)
 
 
+def test_an_identity_is_known_for_its_lifetime_and_forgotten_later() -> None:
     table = open_sent_requests(LIFETIME_MS, None, "n0", SLOTS)
     first, second = identity_of(b"1"), identity_of(b"2")
     assert table.try_add((first,), 10_000.0) is AddResult.ADDED
     assert table.try_add((first,), 10_000.0 + LIFETIME_MS - 1) is AddResult.KNOWN
     assert table.try_add((second,), 10_000.0 + LIFETIME_MS) is AddResult.ADDED
-    assert table.contains(first)
+    assert table.contains(first, 10_000.0 + LIFETIME_MS)
     assert table.try_add((first,), 10_000.0 + 2 * LIFETIME_MS) is AddResult.ADDED
-    assert table.contains(second)
+    assert table.contains(second, 10_000.0 + 2 * LIFETIME_MS)
     assert table.try_add((second,), 20_000.0) is AddResult.ADDED
 
 
@@ -115,7 +116,7 @@
     identities = [identity_of(b"%d" % number) for number in range(101)]
     assert {table.try_add((each,), 5000.0) for each in identities[:100]} == {AddResult.ADDED}
     assert table.try_add((identities[100],), 5001.0) is AddResult.FULL
-    assert all(table.contains(each) for each in identities[:100])
+    assert all(table.contains(each, 5001.0) for each in identities[:100])
     assert table.try_add((identities[100],), 5000.0 + LIFETIME_MS) is AddResult.ADDED
 
 
@@ -125,7 +126,7 @@
     for each in identities:
         assert table.try_add((each,), 0.0) is AddResult.ADDED
     table.remove((identities[1],))
-    assert [table.contains(each) for each in identities] == [True, False, True, True, True]
+    assert [table.contains(each, 0.0) for each in identities] == [True, False, True, True, True]
 
 
 def test_processes_know_what_the_other_one_has_sent(tmp_path: Path) -> None:
@@ -133,7 +134,7 @@
     assert one.try_add((identity_of(b"1"),), 0.0) is AddResult.ADDED
     assert two.try_add((identity_of(b"1"),), 0.0) is AddResult.KNOWN
     assert two.try_add((identity_of(b"2"),), 0.0) is AddResult.ADDED
-    assert one.contains(identity_of(b"2"))
+    assert one.contains(identity_of(b"2"), 0.0)
 
 
 def test_a_successor_continues_the_table_of_a_process_that_has_ended(tmp_path: Path) -> None:
@@ -142,7 +143,7 @@
     del first
     third = shared(tmp_path)
     assert third.try_add((identity_of(b"1"),), 10.0) is AddResult.KNOWN
-    assert second.contains(identity_of(b"1"))
+    assert second.contains(identity_of(b"1"), 10.0)
 
 
 def test_a_process_too_many_keeps_a_table_of_its_own(tmp_path: Path) -> None:
@@ -155,7 +156,7 @@
 def test_a_directory_that_cannot_be_used_leaves_the_process_a_table_of_its_own(tmp_path: Path) -> None:
     table = open_sent_requests(LIFETIME_MS, tmp_path / "missing", "n0", SLOTS)
     assert table.try_add((1,), 0.0) is AddResult.ADDED
-    assert table.contains(1)
+    assert table.contains(1, 0.0)
 
 
 # ---------------------------------------------------------------- one node
