Render the deadline of an attempt by the clock of the write; stop a late node while it is idle

Cause, of the test: it stopped the process for 0.5 s at any moment, also between rendering and writing, where the operators' terms allow for 0.15 s alone. It now stops the process while it handles nothing, and all requests come while it is stopped: more requests are read late than before, the bound is the same, and the result does not depend on the moment.

Cause, of the program: X-Deadline was computed with the event loop's time, which is that of the begin of the iteration. It is now computed by the monotonic clock right before the write.

--- a/crowpost/node/upstream/connection.py
+++ b/crowpost/node/upstream/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import select
+import time
 from collections.abc import Callable
 from enum import Enum
 from typing import TYPE_CHECKING, cast
@@ -106,7 +107,8 @@
             self.abort()
             return CarryResult.CONNECTION_USELESS
         now = asyncio.get_running_loop().time()
-        text = call.render(call.deadline - now)
+        # The loop's time is that of the begin of its iteration: the process may have been held up since.
+        text = call.render(call.deadline - time.monotonic())
         if not call.may_write():
             return CarryResult.NOT_WANTED
         self._call = call
--- a/tests/faults/test_hold_up.py
+++ b/tests/faults/test_hold_up.py
@@ -36,10 +36,13 @@
     async def main() -> None:
         async with faulty_node(tmp_path, seed=SEED) as node:
             for _ in range(3):
-                await asyncio.sleep(PAUSE_S)
+                # Held up while no request is being handled: the terms allow 0.15 s between two steps.
+                await node.traffic.stop()
                 node.process.send_signal(signal.SIGSTOP)
+                node.traffic.restart()
                 await asyncio.sleep(LATE_S)
                 node.process.send_signal(signal.SIGCONT)
+                await asyncio.sleep(PAUSE_S)
             assert await node.judge() == []
 
     run(main())
--- a/tests/faults/traffic.py
+++ b/tests/faults/traffic.py
@@ -133,14 +133,22 @@
     pause_s: float = 0.02
     leave_share: float = 0.0
     stopping: bool = False
+    _clients: tuple[int, int] = (0, 0)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def start(self, kept: int, fresh: int) -> None:
         """Start clients that keep their connection, and clients that open one for each request."""
+        self._clients = (kept, fresh)
+        self.stopping = False
+        self._tasks.clear()
         for index in range(kept + fresh):
             client = self._ask_in_turn(CLASSES[index % len(CLASSES)], fresh=index >= kept)
             self._tasks.append(asyncio.create_task(client))
 
+    def restart(self) -> None:
+        """Start as many clients as before, after a stop."""
+        self.start(*self._clients)
+
     async def stop(self) -> None:
         """Wait until each client has the end of its last request."""
         self.stopping = True
