Let an endpoint warm up from when its start was told if the time cannot be right

Callers would see (shown on the decision module): an endpoint whose machine's clock is an hour behind gets full load while it is cold; one whose clock is ahead counts as cold for as long as it is ahead, and a restart after its clock was set back is not recognised, so that the ejection and failures of the old process go on.

Cause: the age of an endpoint was the difference of two machines' wall clocks, and a restart was a later start time.

Change: a start in the future, or one told as a change more than 60 s after it, counts from when it was told; any other start time than the known one is a restart. Nothing changes for times that can be right.

Ruled out for the node's own clock: node/clock.py takes the wall clock once and goes on by the monotonic one, so that steps after the start have no effect. Left: a clock that is a few seconds behind, and a node that starts with its own clock ahead, cannot be told from sound ones.

--- a/crowpost/decisions/endpoint_set.py
+++ b/crowpost/decisions/endpoint_set.py
@@ -18,7 +18,7 @@
 from crowpost.decisions.estimators import Rate
 from crowpost.decisions.learning_automaton import LearningAutomaton
 from crowpost.decisions.load_reports import LoadReports
-from crowpost.decisions.slow_start import SlowStart
+from crowpost.decisions.slow_start import SlowStart, believed_start
 from crowpost.decisions.subsetting import choose_subset
 
 # The column of a load report with the number of requests in flight at the endpoint.  Load reports cover the
@@ -55,6 +55,7 @@
         self.warming_up: list[Endpoint] = []  # State of the last refresh
         self.capacity = 0.0  # Capacity of the listed endpoints at the last refresh, in units of a warm one
         self._refresh_at = -math.inf
+        self._has_list = False  # Whether discovery has told a list: what it tells later is new
         self._by_scope: dict[Scope, list[int]] = {}
         columns = settings.load_report_columns
         column = columns.index(IN_FLIGHT_COLUMN) if IN_FLIGHT_COLUMN in columns else None
@@ -75,6 +76,7 @@
         self._choose_subset()
         self.warming_up = [endpoint for endpoint in self.listed if self.is_warming_up(endpoint)]
         self._refresh_at = -math.inf
+        self._has_list = self._has_list or event.kind is not ListKind.CACHED
         self._drop_departed()
 
     def _apply_entry(self, entry: EndpointEntry) -> None:
@@ -83,10 +85,12 @@
         is_ready = entry.readiness is Readiness.READY
         if endpoint is None:
             endpoint = self.known[entry.server] = Endpoint(entry, is_ready)
+            endpoint.started_at = believed_start(entry.started_ms, now, told_at_once=self._has_list)
             endpoint.slow_start_tokens = self._context.rng.random()
             endpoint.slow_start_tokens_at = now
-        elif entry.started_ms > endpoint.entry.started_ms:
+        elif entry.started_ms not in (0.0, endpoint.entry.started_ms):
             # The process was restarted: failures of the old one no longer count, and it warms up again.
+            endpoint.started_at = believed_start(entry.started_ms, now, told_at_once=self._has_list)
             endpoint.failure_rate = 0.0
             endpoint.ejections = 0
             endpoint.ejected = False
@@ -95,6 +99,8 @@
             endpoint.slow_start_tokens_at = now
             endpoint.last_response_at = now
             endpoint.reported_at = -math.inf
+        if entry.started_ms <= 0.0:
+            endpoint.started_at = 0.0
         endpoint.entry = entry
         endpoint.listed = is_ready
 
--- a/crowpost/decisions/endpoint_state.py
+++ b/crowpost/decisions/endpoint_state.py
@@ -17,6 +17,7 @@
 
     entry: EndpointEntry
     listed: bool = True
+    started_at: float = 0.0  # Start of its warm-up, 0 if that is long ago
     index: int = -1  # Position in the learning automaton, -1 while it is not there
     in_flight: dict[AttemptKey, float] = field(default_factory=dict)  # Time of sending, oldest first
     last_response_at: float = -math.inf
--- a/crowpost/decisions/slow_start.py
+++ b/crowpost/decisions/slow_start.py
@@ -5,6 +5,25 @@
 from crowpost.decision_api import Settings
 from crowpost.decisions.endpoint_state import Endpoint
 
+# A start that is told later than this after it, or before it, has a time of a clock that is wrong.
+MAX_TOLD_DELAY_MS = 60_000.0
+
+
+def believed_start(started_ms: float, now: float, *, told_at_once: bool) -> float:
+    """Return the time from which an endpoint is taken to warm up, in ms; 0 if it started long ago.
+
+    The machines of an endpoint and of this node may have clocks that were set forward or back.  A time that
+    cannot be right is replaced by the time at which the start was told: the endpoint is no colder than that.
+
+    told_at_once: whether the start was told as a change, so that it cannot be old.
+    """
+    if started_ms <= 0.0:
+        return 0.0
+    age = now - started_ms
+    if age < 0.0 or (told_at_once and age > MAX_TOLD_DELAY_MS):
+        return now
+    return started_ms
+
 
 class SlowStart:
     """The load ramp of endpoints that are warming up.  Times are milliseconds."""
@@ -16,13 +35,12 @@
 
     def is_warming_up(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether the endpoint's process was started less than the warm-up time ago."""
-        started = endpoint.entry.started_ms
-        return started > 0 and now - started < self._warm_up_ms
+        return endpoint.started_at > 0 and now - endpoint.started_at < self._warm_up_ms
 
     def capacity_fraction(self, endpoint: Endpoint, now: float) -> float:
         """Return the least part of its capacity that a warming endpoint has by now."""
         low = self._initial_fraction
-        age = now - endpoint.entry.started_ms
+        age = now - endpoint.started_at
         return low + (1.0 - low) * max(age, 0.0) / self._warm_up_ms
 
     def permits(self, endpoint: Endpoint, units: float, warm_rate: float, now: float) -> bool:
