Report only an address that cannot be used as a fault of NODE_LISTEN

Operators would see: any OSError of a running node (a full disk, descriptors, a system call of the event loop) as one line 'NODE_LISTEN cannot be used' and exit code 2, with no trace of what has ended the process.

Cause: main caught OSError around the whole life of the node. It is now caught where the address is bound; anything else ends the process with its traceback.

Tests: test_a_fault_of_the_system_while_a_node_runs_is_not_reported_as_its_configuration failed before; NODE_LISTEN in use is one more case of the test beside it and passed before.

--- a/crowpost/__main__.py
+++ b/crowpost/__main__.py
@@ -30,9 +30,6 @@
     except ConfigError as error:
         print(f"crowpost: {error}", file=sys.stderr)
         return 2
-    except OSError as error:
-        print(f"crowpost: NODE_LISTEN cannot be used: {error}", file=sys.stderr)
-        return 2
     return 0
 
 
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -180,7 +180,7 @@
         """Start and listen; return the address for clients.
 
         An inherited listening socket is accepted from only once the node is ready.  Raise ConfigError if a
-        configured address or directory cannot be used, OSError if the address for clients cannot.
+        configured address or directory cannot be used.
         """
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(signal_number, self.terminate)
@@ -202,7 +202,10 @@
             log.info("node %s is managed on %s:%d", self._config.name, *self.admin_address)
         await self._start_membership()
         if self._config.accept_fd is None:
-            self._accept(self._config.listen)
+            try:
+                self._accept(self._config.listen)
+            except OSError as error:
+                raise ConfigError(f"NODE_LISTEN cannot be used: {error}") from error
         elif self._inherited_socket is not None:
             # The socket is None if discovery has already sent a list and the socket is accepted from.
             self._address = self._inherited_socket.getsockname()[:2]
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import hashlib
 import json
 import re
@@ -12,6 +13,7 @@
 
 import pytest
 
+from crowpost import __main__, log_output
 from tests.node.processes import logged_address, node_configuration, node_environment, start_node
 from tests.node.stubs import (
     HOST,
@@ -94,6 +96,7 @@
         ({"NODE_ACCEPT_FD": "2"}, "NODE_ACCEPT_FD: descriptor 2 is no "),
         ({"NODE_MANAGEMENT": "here"}, "NODE_MANAGEMENT is not an address and a port: 'here'"),
         ({"NODE_MANAGEMENT": "taken"}, "NODE_MANAGEMENT cannot be used: "),
+        ({"NODE_LISTEN": "taken"}, "NODE_LISTEN cannot be used: "),
         ({"NODE_ACCEPT_FD": "bound"}, "is no listening TCP socket"),
     ],
 )
@@ -118,6 +121,24 @@
     run(main())
 
 
+def test_a_fault_of_the_system_while_a_node_runs_is_not_reported_as_its_configuration(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process whose end is put down to its address, whatever has ended it."""
+
+    async def fail(_: object) -> None:
+        raise OSError(errno.ENOSPC, "no space")
+
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({**node_configuration(), "listen": f"{HOST}:0", "discovery": f"{HOST}:1"}))
+    monkeypatch.setenv("NODE_NAME", "n0")
+    monkeypatch.setenv("NODE_CONFIG", str(config))
+    monkeypatch.setattr(__main__, "_serve", fail)
+    monkeypatch.setattr(log_output, "install", lambda: None)
+    with pytest.raises(OSError, match="no space"):
+        __main__.main()
+
+
 def test_upgrade_under_load_rejects_no_request(tmp_path: Path) -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
