Accept no more connections than may be open until evicted ones have closed

Memory that stays scarce is now logged and trimmed every 10 s, not every second: a process of an upgrade at 32 MB has 16 MB, which it needs at rest.

Change: the listener counts open connections, evicted ones too, and the acceptor waits for 10 ms where 16 more than the limit are open.

--- a/crowpost/node/downstream/acceptor.py
+++ b/crowpost/node/downstream/acceptor.py
@@ -43,7 +43,7 @@
     """Accepts the connections of one listening socket, which it closes in the end.
 
     make_protocol: returns the protocol of a new connection; on_exhausted: closes a dispensable connection, if
-    there is one.
+    there is one; has_room: returns whether so many more connections may be open.
     """
 
     def __init__(
@@ -51,11 +51,13 @@
         listening: socket.socket,
         make_protocol: Callable[[], asyncio.BaseProtocol],
         on_exhausted: Callable[[], None] = lambda: None,
+        has_room: Callable[[int], bool] = lambda _: True,
     ) -> None:
         listening.setblocking(False)
         self._listening = listening
         self._make_protocol = make_protocol
         self._on_exhausted = on_exhausted
+        self._has_room = has_room
         self._loop = asyncio.get_running_loop()
         self._opening: set[asyncio.Task[None]] = set()
         self._retry: asyncio.TimerHandle | None = None
@@ -74,6 +76,9 @@
 
     def _accept_waiting(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_TURN):
+            if not self._has_room(len(self._opening) + 1):
+                self._pause()
+                return
             try:
                 accepted, _ = self._listening.accept()
             except BlockingIOError:
@@ -81,7 +86,9 @@
             except OSError as error:
                 self._count_failure(error)
                 if error.errno in EXHAUSTED:
-                    self._pause(error)
+                    if error.errno == errno.EMFILE:
+                        self._on_exhausted()
+                    self._pause()
                     return
                 # Any other error is that of a connection that broke before it was accepted (accept(2)).
                 continue
@@ -100,10 +107,8 @@
             self._count_failure(error)
             accepted.close()
 
-    def _pause(self, error: OSError) -> None:
+    def _pause(self) -> None:
         """Leave connections waiting for a moment."""
-        if error.errno == errno.EMFILE:
-            self._on_exhausted()
         self._loop.remove_reader(self._listening)
         self._retry = self._loop.call_later(RETRY_S, self._resume)
 
--- a/crowpost/node/downstream/listener.py
+++ b/crowpost/node/downstream/listener.py
@@ -25,6 +25,8 @@
 
 SWEEP_INTERVAL_S = 0.1
 BACKLOG = 1024
+# Connections beyond the limit that may be open until evicted ones have closed.
+MAX_CLOSING_CONNECTIONS = 16
 
 
 class Listener:
@@ -60,6 +62,8 @@
         self.refusals = RefusalLog()
         self._loop = asyncio.get_running_loop()
         self._connections: set[ClientConnection] = set()
+        # Connections whose descriptors are open: also those that were evicted and have not closed yet.
+        self._open_count = 0
         self._acceptor: Acceptor | None = None
         # Failures to accept of acceptors that are closed.
         self._earlier_accept_failures = 0
@@ -76,7 +80,7 @@
         # Without it an answer may come late, which is no reason not to serve.
         with contextlib.suppress(OSError):
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        self._acceptor = Acceptor(listening, lambda: ClientConnection(self), self._evict_one)
+        self._acceptor = Acceptor(listening, lambda: ClientConnection(self), self._evict_one, self._has_room)
         bound: tuple[str, int] = listening.getsockname()[:2]
         return bound
 
@@ -107,6 +111,7 @@
     def opened(self, connection: ClientConnection) -> None:
         """Register an accepted connection, and close another one if there are too many."""
         self._connections.add(connection)
+        self._open_count += 1
         self._last_activity = self.now()
         if len(self._connections) > self._max_connections:
             self._evict_one(connection)
@@ -114,6 +119,11 @@
     def closed(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
         self._connections.discard(connection)
+        self._open_count -= 1
+
+    def _has_room(self, count: int) -> bool:
+        """Return whether so many more connections may be open, with those that were evicted and close."""
+        return self._open_count + count <= self._max_connections + MAX_CLOSING_CONNECTIONS
 
     def over_limit(self) -> bool:
         """Return whether the connection limit is exceeded because no connection could be evicted."""
--- a/crowpost/node/memory_monitor.py
+++ b/crowpost/node/memory_monitor.py
@@ -18,8 +18,8 @@
 CHECK_INTERVAL_S = 0.1
 # The part of the limit that stays free: memory may grow between two checks.
 RESERVE_FRACTION = 0.04
-# The least time between two returns of free memory, each of which takes milliseconds.
-TRIM_INTERVAL_S = 1.0
+# The least time between two returns of free memory, each of which takes milliseconds and a line of the log.
+TRIM_INTERVAL_S = 10.0
 STATUS_FILE = Path("/proc/self/status")
 # The pages that count: those of the process alone, and those of files in memory.
 COUNTED_FIELDS = (b"RssAnon:", b"RssShmem:")
