Put a failure of this machine to open a connection down to no endpoint

Seen (real process, shim): while every connect failed with EADDRNOTAVAIL or ENOBUFS, or every socket with ENOBUFS or ENFILE, endpoints were ejected for 'connect failed'. An ejected endpoint gets nothing until its backoff is over, whatever other requests need.

Cause: each error of socket and connect became the outcome CONNECT_FAILED, which counts against the endpoint.

Change: DialFailure tells failures of this machine (no address, descriptor or memory) from those of the endpoint; the former end an attempt as NOT_SENT: not begun, free to go elsewhere for every class, no verdict.

--- a/crowpost/node/upstream/interfaces.py
+++ b/crowpost/node/upstream/interfaces.py
@@ -58,7 +58,7 @@
         endpoint: Endpoint,
         on_dialled: OnDialled,
     ) -> None:
-        """Open a connection and pass it to `on_dialled`; pass None if it is not established in time."""
+        """Open a connection and pass it to `on_dialled`, or why it is not established in time."""
 
     def dial_for(self, endpoint: Endpoint, call: Call) -> None:
         """Carry the call on a new connection."""
--- a/crowpost/node/upstream/pool.py
+++ b/crowpost/node/upstream/pool.py
@@ -12,6 +12,7 @@
 from crowpost.node.reading import ReadScheduler
 from crowpost.node.upstream.call import Call
 from crowpost.node.upstream.connection import CarryResult, Endpoint, UpstreamConnection
+from crowpost.node.upstream.dial_failure import DialFailure
 from crowpost.node.upstream.endpoint import EndpointConnections
 from crowpost.node.upstream.keep_alive import KeepAlive
 from crowpost.node.upstream.race import ConnectionRace, OnDialled
@@ -158,16 +159,16 @@
             self._loop.call_soon(call.finish, Outcome.CONNECT_FAILED)
             return
 
-        def on_dialled(connection: UpstreamConnection | None) -> None:
-            if connection is None:
-                call.finish(Outcome.CONNECT_FAILED)
+        def on_dialled(result: UpstreamConnection | DialFailure) -> None:
+            if isinstance(result, DialFailure):
+                call.finish(result.value)
             else:
-                self.dispatch(call, connection)
+                self.dispatch(call, result)
 
         self.dial(endpoint, on_dialled)
 
     def dial(self, endpoint: Endpoint, on_dialled: OnDialled) -> None:
-        """Open a connection and pass it to `on_dialled`; pass None if it is not established in time."""
+        """Open a connection and pass it to `on_dialled`, or why it is not established in time."""
         task = self._loop.create_task(self._connect(endpoint, on_dialled))
         self._dial_tasks.add(task)
         task.add_done_callback(self._dial_tasks.discard)
@@ -179,8 +180,8 @@
                 _, connection = await self._loop.create_connection(
                     lambda: UpstreamConnection(endpoint, self), host, port
                 )
-        except (OSError, TimeoutError):
-            on_dialled(None)
+        except OSError as error:  # TimeoutError is one of them
+            on_dialled(DialFailure.of(error))
             return
         on_dialled(connection)
 
--- a/crowpost/node/upstream/race.py
+++ b/crowpost/node/upstream/race.py
@@ -9,6 +9,7 @@
 from crowpost.decision_api import Outcome
 from crowpost.node.upstream.call import Call
 from crowpost.node.upstream.connection import UpstreamConnection
+from crowpost.node.upstream.dial_failure import DialFailure
 
 if TYPE_CHECKING:
     from crowpost.node.upstream.interfaces import RacePool
@@ -17,8 +18,8 @@
 # handshake, and may never be established.
 MAX_EXTRA_DIALS = 4
 
-# Called with a new connection, or with None if it was not established in time.
-OnDialled = Callable[[UpstreamConnection | None], None]
+# Called with a new connection, or with the reason why it was not established in time.
+OnDialled = Callable[[UpstreamConnection | DialFailure], None]
 
 
 class ConnectionRace:
@@ -70,18 +71,18 @@
             self._decided = True
             self._pool.dial_for(self._endpoint, self._call)
 
-    def _on_dialled(self, connection: UpstreamConnection | None) -> None:
+    def _on_dialled(self, result: UpstreamConnection | DialFailure) -> None:
         self._endpoint.extra_dials -= 1
         self._dialling = False
-        if self._decided:
-            if connection is not None:
-                self._pool.release(connection)
-        elif connection is not None:
+        if isinstance(result, DialFailure):
+            if not self._decided and self._idle_connection is None:
+                self._decided = True
+                self._call.finish(result.value)
+        elif self._decided:
+            self._pool.release(result)
+        else:
             self._decided = True
             idle_connection = self._stop_waiting()
             if idle_connection is not None:
                 self._pool.return_unused(idle_connection)
-            self._pool.dispatch(self._call, connection)
-        elif self._idle_connection is None:
-            self._decided = True
-            self._call.finish(Outcome.CONNECT_FAILED)
+            self._pool.dispatch(self._call, result)
--- a/tests/faults/harness.py
+++ b/tests/faults/harness.py
@@ -42,6 +42,7 @@
     record: Record
     discovery: StubDiscovery
     servers: Sequence[StubServer]
+    log: asyncio.Task[bytes]
     ending: bool = False
 
     async def judge(self) -> list[str]:
@@ -50,6 +51,12 @@
         await settle(SETTLE_S)
         return violations(self.record)
 
+    async def end(self) -> str:
+        """Kill the process and return its log."""
+        self.ending = True
+        kill(self.process)
+        return (await self.log).decode()
+
     def processor_time_s(self) -> float:
         """Return the processor time that the process has used."""
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
@@ -94,7 +101,7 @@
         log = asyncio.create_task(process.stderr.read())
         traffic = Traffic(record, address, rng, deadline_s=deadline_s, leave_share=leave_share)
         traffic.start(KEPT_CLIENTS, FRESH_CLIENTS)
-        node = FaultyNode(process, address, shim, traffic, record, discovery, servers)
+        node = FaultyNode(process, address, shim, traffic, record, discovery, servers, log)
         yield node
         assert node.ending or process.returncode is None, "the node has ended"
         kill(process)
--- a/tests/faults/traffic.py
+++ b/tests/faults/traffic.py
@@ -89,11 +89,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerPlan:
-    """The shares of requests that servers answer 500, reset and turn away; the others are served."""
+    """The shares of requests that servers answer 500, reset and turn away; the others are served.
+
+    closing: whether each response ends its connection.
+    """
 
     failed: float = 0.0
     reset: float = 0.0
     turned_away: float = 0.0
+    closing: bool = False
 
 
 def recording_server(record: Record, name: str, rng: random.Random, plan: ServerPlan) -> StubServer:
@@ -115,7 +119,8 @@
             writer.write(b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
         else:
             body = got.headers["x-request-id"].encode()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+            extra = b"Connection: close\r\n" if plan.closing else b""
+            writer.write(b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (extra, len(body), body))
 
     return StubServer([behave])
 
--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -151,6 +151,7 @@
     endpoints: the length of the endpoint lists that the node is told meanwhile; 0 for one short list.
     """
     behaviour, text = LOADS[load]
+    peak = 0
     async with contextlib.AsyncExitStack() as stack:
         servers = [await stack.enter_async_context(StubServer([behaviour])) for _ in range(SERVERS)]
         discovery = await stack.enter_async_context(StubDiscovery())
@@ -167,7 +168,6 @@
         log = asyncio.create_task(process.stderr.read())
         lists = asyncio.create_task(tell_lists(discovery, endpoints, servers)) if endpoints else None
         clients = []
-        peak = 0
         for _ in range(CLIENTS):
             clients.append(asyncio.create_task(send_and_stop(address, text)))
             await asyncio.sleep(0.005)
@@ -186,7 +186,7 @@
                 ended.close()
         for server in servers:
             server.release.set()
-        return peak
+    return peak
 
 
 @pytest.mark.parametrize("load", LOADS)
