--- a/tests/faults/test_fault_soak.py
+++ b/tests/faults/test_fault_soak.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import os
 import random
@@ -20,7 +21,7 @@
 from tests.faults.harness import FaultyNode, faulty_node
 from tests.faults.system_calls import SHORT, CallFault
 from tests.faults.traffic import ServerPlan
-from tests.node.stubs import run
+from tests.node.stubs import Client, listing, request, row, run, send_line
 
 FIRST_SEED, _, LAST_SEED = os.environ.get("CROWPOST_FAULT_SEEDS", "1-6").partition("-")
 SEEDS = range(int(FIRST_SEED), int(LAST_SEED or FIRST_SEED) + 1)
@@ -34,6 +35,15 @@
 # SIGKILL follows SIGTERM this long after the longest deadline, which counts as 3 s at most.
 KILL_AFTER_S = 0.7
 MOST_DEADLINE_S = 3.0
+CROWD = 100
+BAD_INPUT = (
+    request("look", drop=("X-Tenant",)),
+    b"GET /api HTTP/1.1\r\nno field\r\n\r\n",
+    request("book", body=bytes(30_000))[:-1],
+    b"",
+)
+# How long a server drains, beyond the time in which it may still get requests.
+DRAIN_S = 0.8
 DEADLINES_S = (0.6, 4.0)
 REQUEST_DEADLINE_FRACTION = 0.8
 
@@ -61,6 +71,8 @@
     active_faults: Sequence[int]
     holds: bool
     last_signals: Sequence[signal.Signals]
+    crowd: int
+    drains: bool
 
 
 def draw_plan(rng: random.Random) -> Plan:
@@ -77,6 +89,8 @@
                 [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP],
             )
         ),
+        crowd=rng.choice((0, CROWD)),
+        drains=rng.random() < 0.5,
     )
 
 
@@ -93,6 +107,40 @@
             node.process.send_signal(signal.SIGCONT)
 
 
+async def misbehave(address: tuple[str, int], rng: random.Random, until: float) -> None:
+    """Connect, send something that is not served or not complete, and leave, again and again."""
+    while time.monotonic() < until:
+        with contextlib.suppress(OSError, TimeoutError):
+            client = await Client.connect(address)
+            client.writer.write(rng.choice(BAD_INPUT))
+            async with asyncio.timeout(0.2):
+                await client.reader.read()
+            client.close()
+        await asyncio.sleep(0.02)
+
+
+async def drain_servers(node: FaultyNode, rng: random.Random, until: float) -> None:
+    """Tell the node again and again that another server drains and the others serve."""
+    watch = await node.discovery.watch()
+    rows = [row(chr(ord("a") + index), server.address) for index, server in enumerate(node.servers)]
+    generation = 1
+    draining = -1
+    while time.monotonic() < until:
+        generation += 1
+        draining = rng.choice([index for index in range(len(rows)) if index != draining])
+        entries = [
+            {**each, "lifecycle": "DRAINING"} if i == draining else each for i, each in enumerate(rows)
+        ]
+        try:
+            send_line(watch, listing(generation, *entries))
+        except RuntimeError:  # the node has opened another one
+            watch = await node.discovery.watch()
+            send_line(watch, listing(generation, *entries))
+        node.record.draining = (f"s{draining}", time.monotonic())
+        await asyncio.sleep(DRAIN_S)
+    node.record.draining = None
+
+
 async def shut_down(node: FaultyNode, plan: Plan, rng: random.Random) -> None:
     """Send the last signals, and SIGKILL at its earliest; clients go on until then."""
     began = time.monotonic()
@@ -124,7 +172,11 @@
             deadline_s=REQUEST_DEADLINE_FRACTION * plan.longest_deadline_s,
             longest_deadline_s=plan.longest_deadline_s,
         ) as node:
-            await disturb(node, plan, rng)
+            until = time.monotonic() + FAULTS_S
+            others = [misbehave(node.address, rng, until) for _ in range(plan.crowd)]
+            if plan.drains:
+                others.append(drain_servers(node, rng, until))
+            await asyncio.gather(disturb(node, plan, rng), *others)
             await shut_down(node, plan, rng)
             found = await node.judge()
             print(seed, plan, dict(node.record.statuses()), "exit", node.process.returncode, found)
--- a/tests/faults/traffic.py
+++ b/tests/faults/traffic.py
@@ -24,6 +24,8 @@
 ANSWER_SLACK_S = 0.5
 LEFT_SLACK_S = 0.1
 DEADLINE_SLACK_S = 0.15
+# The settings of these tests allow 0.25 s after a drain was told, and sockets 0.05 s more.
+DRAIN_GRACE_S = 0.3
 WORK_S = 0.01
 CLASSES = ("look", "move", "book")
 UNSAFE_CLASS = "book"
@@ -46,6 +48,7 @@
     received_at: float
     deadline_s: float
     may_have_run: bool = True
+    after_drain_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -71,11 +74,15 @@
     def __init__(self) -> None:
         self.requests: dict[str, ClientRecord] = {}
         self.connect_failures = 0
+        # The server that drains, and since when the node has been told; None if none does.
+        self.draining: tuple[str, float] | None = None
 
     def add_attempt(self, server: str, got: Received, writer: asyncio.StreamWriter) -> Attempt:
         """Record an attempt that has arrived at a server; delays of this process are not counted."""
         received_at = time.monotonic() - arrived_ago_s(writer)
         attempt = Attempt(server, received_at, float(got.headers["x-deadline"]))
+        if self.draining is not None and server == self.draining[0]:
+            attempt.after_drain_s = received_at - self.draining[1]
         self.requests[got.headers["x-request-id"]].attempts.append(attempt)
         return attempt
 
@@ -268,6 +275,8 @@
         left_s = sent.sent_at + sent.deadline_s - attempt.received_at
         if attempt.deadline_s > left_s + DEADLINE_SLACK_S:
             lines.append(f"a server was told {attempt.deadline_s:.3f} s of {left_s:.3f}")
+        if attempt.after_drain_s > DRAIN_GRACE_S:
+            lines.append(f"an attempt at a draining server, told {attempt.after_drain_s:.3f} s before")
         if sent.left_at is not None and attempt.received_at > sent.left_at + LEFT_SLACK_S:
             lines.append(f"an attempt {attempt.received_at - sent.left_at:.3f} s after the client has left")
     return lines
