Go on writing a state directory once a disk that has failed works again

Operators saw (real process, shim): after one failed write or sync (ENOSPC, EIO) of the state directory a node wrote nothing more until it was restarted, although the disk worked again. An evacuation was answered with 'done, but a restart may forget it' for ever, a list and the learned values were lost.

Cause: a store that has failed stays failed, rightly, as nobody knows what of its last writes is on the disk; the writer kept that store.

What comes meanwhile is kept in memory. Requests are served throughout (before as well).

Ruled out: rename and truncate, which are not called on this way.

--- a/crowpost/node/state/writer.py
+++ b/crowpost/node/state/writer.py
@@ -38,6 +38,10 @@
 MAX_WAITING_LIST_PARTS = 400  # a longer queue is replaced by a snapshot of the list
 BURST_BYTES = 1 << 20
 POLL_INTERVAL_S = 0.1  # interval between checks for data to write, and for a released directory
+# The first pause before a directory is opened again after a write or sync has failed, and the longest: each
+# further failure doubles it.
+MIN_REOPEN_PAUSE_S = 0.5
+MAX_REOPEN_PAUSE_S = 8.0
 ACKNOWLEDGE_TIMEOUT_S = 1.0  # longest wait of an operator for an evacuation to be durable
 
 
@@ -85,6 +89,9 @@
         self._closing: asyncio.Task[None] | None = None
         self._take_over_task: asyncio.Task[None] | None = None
         self._log_bytes_at_snapshot = 0
+        # When the directory may be opened again after a failure, in the loop's time, and the pause before.
+        self._reopen_at = 0.0
+        self._reopen_pause_s = 0.0
         self.damage = ""  # why the directory is not used; empty if it is
         self.state = NodeState()
 
@@ -138,8 +145,17 @@
         except DirectoryLockedError:
             return
         except StoreError as error:
-            self._continue_without_state(error)
+            if self._reopen_pause_s:
+                self._pause_before_reopening()
+            else:
+                self._continue_without_state(error)
             return
+        if self._reopen_pause_s:
+            self._resume(opened)
+        else:
+            self._continue_from(opened, state)
+
+    def _continue_from(self, opened: OpenedStore, state: NodeState) -> None:
         own = self.state
         self._use(opened, state)
         log_event("taken_over", path=str(self._config.directory))
@@ -152,6 +168,35 @@
         if own.generation > state.generation:
             self.record_list(True, own.generation, own.decoded_instances())
 
+    def _abandon(self, runner: StoreRunner) -> None:
+        """Give up a store that cannot be written, to open its directory again later.
+
+        What was recorded meanwhile is in `state`.
+        """
+        if runner.store.busy:
+            return
+        self._runner = None
+        runner.abandon()
+        while self._waiting_list_parts:
+            self.state.apply(self._waiting_list_parts.popleft())
+        self._pause_before_reopening()
+
+    def _pause_before_reopening(self) -> None:
+        pause_s = 2.0 * self._reopen_pause_s or MIN_REOPEN_PAUSE_S
+        self._reopen_pause_s = min(MAX_REOPEN_PAUSE_S, pause_s)
+        self._reopen_at = self._loop.time() + self._reopen_pause_s
+
+    def _resume(self, opened: OpenedStore) -> None:
+        """Write on after a failure, beginning with all of the state: records may be missing on the disk."""
+        self._use(opened, self.state)
+        assert self._runner is not None
+        self._reopen_pause_s = 0.0
+        self._last_sequence = 0
+        log_event("resumed", path=str(self._config.directory))
+        self._append(Evacuation(self.state.evacuated), Durability.ACKNOWLEDGED)
+        self._runner.write_snapshot(self.state.snapshot_pieces())
+        self._log_bytes_at_snapshot = self._runner.store.counters.log_bytes
+
     def _continue_without_state(self, error: StoreError) -> None:
         self.damage = str(error)
         path = str(self._config.directory)
@@ -163,10 +208,8 @@
         """Record a list from discovery or a change of it; one part of it is written in each poll."""
         if self.damage or self._closing is not None:
             return
-        if self._runner is not None and self._runner.store.failure:
-            return
         for part in split_list(reset, generation, instances):
-            if self._runner is None:
+            if self._runner is None or self._runner.store.failure:
                 self.state.apply(part)
             else:
                 self._waiting_list_parts.append(part)
@@ -183,7 +226,8 @@
             return "the node is ending"
         self._append(Evacuation(active), Durability.ACKNOWLEDGED)
         if self._runner is None:
-            return self.damage or "another process of this node has the state directory"
+            reason = "the disk has failed and is tried again" if self._reopen_pause_s else self.damage
+            return reason or "another process of this node has the state directory"
         try:
             await asyncio.wait_for(self._runner.wait_durable(self._last_sequence), ACKNOWLEDGE_TIMEOUT_S)
         except StoreError as error:
@@ -203,10 +247,14 @@
         self._timer = self._loop.call_later(POLL_INTERVAL_S, self._poll)
         if self._runner is None:
             self._try_to_take_over()
+        elif self._runner.store.failure:
+            self._abandon(self._runner)
         else:
             self._write_next(self._runner)
 
     def _try_to_take_over(self) -> None:
+        if self._loop.time() < self._reopen_at:
+            return
         if self._take_over_task is None or self._take_over_task.done():
             self._take_over_task = None if self.damage else self._loop.create_task(self._take_over())
 
--- a/crowpost/storage/runner.py
+++ b/crowpost/storage/runner.py
@@ -203,6 +203,12 @@
         self._thread.shutdown(wait=True)
         self._disk.close()
 
+    def abandon(self) -> None:
+        """Release the directory without writing more; no job may be running."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self.release()
+
     async def close(self) -> None:
         """Write the waiting records, seal the log and release the directory."""
         if not self.store.failure:
@@ -211,9 +217,7 @@
             await self._ended.wait()
         elif self.store.busy:
             await self._ended.wait()
-        if self._timer is not None:
-            self._timer.cancel()
-        self.release()
+        self.abandon()
 
 
 def log_event(event: str, **values: object) -> None:
