Complete a line of the log of which only a part could be written

Standard error was a socket there, whose writes may be short.

Cause: a short write counted as a dropped line. Change: the rest of a line goes before the next one; at most one line is kept.

Test: test_a_line_that_was_written_in_part_is_completed_before_the_next failed before.

--- a/crowpost/log_output.py
+++ b/crowpost/log_output.py
@@ -59,6 +59,8 @@
         # Lines that were not written, in all and since the last line that was.
         self.dropped = 0
         self._newly_dropped = 0
+        # The end of a line of which only a part was written.
+        self._rest = b""
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record as one line, or drop it if that is not possible at once."""
@@ -81,12 +83,26 @@
         self._newly_dropped += 1
 
     def _write(self, text: str) -> bool:
-        """Write a line and return True; return False if that would wait or fails."""
+        """Write a line and return True; return False if that would wait or fails.
+
+        Of a line that was written in part, the rest goes before the next line.
+        """
+        if self._rest:
+            self._rest = self._rest[self._write_some(self._rest) :]
+        if self._rest:
+            return False
         data = _shortened(text.encode(errors="replace"))
+        written = self._write_some(data)
+        if written:
+            self._rest = data[written:]
+        return written > 0
+
+    def _write_some(self, data: bytes) -> int:
+        """Return how many of the bytes were written at once."""
         with contextlib.suppress(OSError):
             if self._writable.poll(0):
-                return os.write(self._descriptor, data) == len(data)
-        return False
+                return os.write(self._descriptor, data)
+        return 0
 
 
 def _non_blocking_copy(descriptor: int) -> int:
--- a/tests/node/test_log_output.py
+++ b/tests/node/test_log_output.py
@@ -91,6 +91,19 @@
         assert output.dropped == 3
 
 
+def test_a_line_that_was_written_in_part_is_completed_before_the_next(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    write = os.write
+    with (tmp_path / "log").open("wb") as file:
+        output = LogOutput(file.fileno())
+        monkeypatch.setattr(os, "write", lambda descriptor, data: write(descriptor, data[:4]))
+        output.handle(log_record("first line", logging.WARNING))
+        monkeypatch.setattr(os, "write", write)
+        output.handle(log_record("second", logging.WARNING))
+    assert (tmp_path / "log").read_text() == "first line\nsecond\n"
+
+
 def test_a_line_is_cut_to_what_a_pipe_takes_at_once() -> None:
     read_end, write_end = os.pipe()
     LogOutput(write_end).handle(log_record("a" * 10_000 + "end"))
