--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -40,6 +40,7 @@
     start_node,
 )
 from tests.node.stubs import (
+    HOST,
     WAIT_TIMEOUT_S,
     Behaviour,
     Client,
@@ -375,3 +376,38 @@
     text = b"GET / HTTP/1.1\r\nHost: a\r\n" + SMALL_HEADERS + b"\r\n"
     MessageParser(Recorder(), requests=True).feed(text)
     assert kept == Counter([b"host"])
+
+
+def files_bytes(directory: Path) -> int:
+    return sum(file.stat().st_size for file in directory.rglob("*") if file.is_file())
+
+
+def test_both_processes_of_an_upgrade_stay_below_the_memory_limit(tmp_path: Path) -> None:
+    """Guards against an upgrade that the platform ends for the memory of its two processes."""
+
+    async def main() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            server = await stack.enter_async_context(StubServer([reply("200 OK", b"served")]))
+            discovery = await stack.enter_async_context(StubDiscovery())
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps(node_configuration(server, memory_mb=MEMORY_MB, sockets=SOCKETS)))
+            shared = tmp_path / "shared"
+            shared.mkdir()
+            listener = stack.enter_context(socket.create_server((HOST, 0)))
+            environment = {
+                **node_environment(discovery, config),
+                "NODE_ACCEPT_FD": str(listener.fileno()),
+                "TMPDIR": str(shared),
+            }
+            peak = 0
+            processes = []
+            for _ in range(2):
+                process = await start_node(environment, (listener.fileno(),))
+                processes.append(await stack.enter_async_context(running_process(process)))
+                await logged_address(process, "listens")
+                own = sum(map(own_memory_bytes, processes))
+                peak = max(peak, own + files_bytes(shared))
+            assert (await (await Client.connect(listener.getsockname())).ask("look")).body == b"served"
+            assert peak < MAX_MEMORY_BYTES, f"{peak / 1e6:.1f} MB"
+
+    run(main())
