--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+from _pytest.terminal import TerminalReporter
 from hypothesis import settings
 
 settings.register_profile("fixed", derandomize=True, database=None, deadline=None)
@@ -39,7 +40,7 @@
 LEFT_OUT = pytest.StashKey[list[str]]()
 
 
-def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
+def pytest_terminal_summary(terminalreporter: TerminalReporter, config: pytest.Config) -> None:
     """Print the tests that were passed over."""
     for test_id in config.stash.get(LEFT_OUT, []):
         terminalreporter.write_line(f"passed over, as KNOWN-RED.txt says: {test_id}")
