Read a watch of discovery in turns, and set its timer once for each read

Cause: each line set the watch's timer anew, and a cancelled timer keeps its memory until the event loop's next iteration; a read of 256 KiB holds as many empty lines. Nothing bounded the work of a read. The incomplete object was kept as a list of lines, with some 60 bytes for each.

Ruled out: a line without end (22.1 MB, ends at 4 MiB) and bytes that are no HTTP (16.2 MB).

Change: the watch reads by ReadScheduler like every other connection, with lines counted as work; its timer is set once after the lines of a read; an incomplete object is one piece of memory.

--- a/crowpost/node/discovery/client.py
+++ b/crowpost/node/discovery/client.py
@@ -10,6 +10,7 @@
 
 from crowpost.node.discovery.endpoint_list import ListError, Listing, Naming
 from crowpost.node.discovery.watch import Watch
+from crowpost.node.reading import ReadScheduler
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +35,7 @@
     If lists are pushed, the watch is on the machine's own agent: it costs nothing, is kept open without
     `subscribe`, and its failures are not reported, as they say nothing about the list.
 
-    call_timeout_s: the timeout for the first line of a watch.
+    call_timeout_s: the timeout for the first line of a watch; reads: schedules the reads of all connections.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         call_timeout_s: float,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[], None],
+        reads: ReadScheduler,
     ) -> None:
         self.address = address
         self._naming = naming
@@ -54,11 +56,14 @@
         self._call_timeout_s = call_timeout_s
         self._on_list = on_list
         self._on_failed = on_failed
+        self._reads = reads
         self._loop = asyncio.get_running_loop()
         self._random = random.Random(seed)
         # Failures since a watch last sent a complete list or an empty line.
         self._failures = 0
         self._version = 0
+        # Whether a line of the present read was a complete list, or empty.
+        self._progressed = False
         self._watch: Watch | None = None
         self._call: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -94,7 +99,8 @@
     async def _open_watch(self) -> None:
         host, port = self.address
         target = b"/v1/endpoints?watch=1&from=%d" % self._version
-        watch = Watch(target, b"%s:%d" % (host.encode(), port), self._on_line, self._on_closed)
+        authority = b"%s:%d" % (host.encode(), port)
+        watch = Watch(target, authority, self._on_line, self._on_closed, self._on_read, self._reads)
         self._watch = watch
         self._set_timeout(min(self._call_timeout_s, FIRST_LINE_TIMEOUT_S))
         try:
@@ -139,9 +145,15 @@
             self._on_list(Listing(self._version, False, (), {}))
 
     def _on_progress(self) -> None:
-        """Reset failures and timeout after a complete list or an empty line."""
+        """Reset the failures after a complete list or an empty line; the timeout follows after this read."""
         self._failures = 0
-        self._set_timeout(IDLE_TIMEOUT_S)
+        self._progressed = True
+
+    def _on_read(self, watch: Watch) -> None:
+        """Reset the timeout, once for all lines of a read: a cancelled timer keeps its memory for a while."""
+        if watch is self._watch and self._progressed:
+            self._set_timeout(IDLE_TIMEOUT_S)
+        self._progressed = False
 
     def _on_closed(self, watch: Watch) -> None:
         if watch is self._watch:
--- a/crowpost/node/discovery/watch.py
+++ b/crowpost/node/discovery/watch.py
@@ -10,27 +10,33 @@
 
 import httptools
 
+from crowpost.node.reading import READ_BYTES, ConnectionReader, ReadScheduler
+
 log = logging.getLogger(__name__)
 
 # Called with a watch and a complete line of it.
 OnLine = Callable[["Watch", bytes], None]
+# Called with a watch after the lines of one read have been delivered.
+OnRead = Callable[["Watch"], None]
 # Called once, with a watch whose connection has ended.
 OnClosed = Callable[["Watch"], None]
 
 # Enough for about ten thousand endpoints, over one line or several.
 MAX_LIST_BYTES = 4 * 1024 * 1024
+# The work of a line that is not empty, which may change the list, as a number of parsed parts.
+PARTS_PER_LINE = 64
 
 
 class ObjectAssembler:
     """Assembles JSON objects from lines: an object may be indented and span several lines."""
 
     def __init__(self) -> None:
-        self._lines: list[bytes] = []
-        self._size = 0
+        # The lines of an incomplete object, as one piece: thousands of short lines would take far more.
+        self._text = bytearray()
 
     def in_object(self) -> bool:
         """Return whether an object has begun and is not complete."""
-        return bool(self._lines)
+        return bool(self._text)
 
     def take(self, line: bytes) -> Any:
         """Return the object that ends with this line; None if it is still incomplete.
@@ -38,31 +44,44 @@
         Raise ValueError if the lines cannot form an object.  Only the first line and those that may end an
         object are parsed, so that an object over many lines costs no more than one on a single line.
         """
-        self._lines.append(line)
-        self._size += len(line)
-        if self._size > MAX_LIST_BYTES:
+        is_first = not self._text
+        self._text += line + b"\n"
+        if len(self._text) > MAX_LIST_BYTES:
             raise ValueError(f"the list is longer than {MAX_LIST_BYTES} bytes")
-        if len(self._lines) > 1 and not line.rstrip().endswith(b"}"):
+        if not is_first and not line.rstrip().endswith(b"}"):
             return None
-        text = b"\n".join(self._lines).decode()
+        text = self._text.decode()
         try:
             complete = json.loads(text)
         except json.JSONDecodeError as error:
             if error.pos < len(text.rstrip()):
                 raise
             return None
-        self._lines.clear()
-        self._size = 0
+        self._text.clear()
         return complete
 
 
-class Watch(asyncio.Protocol):
+class Watch(asyncio.BufferedProtocol):
     """One watch on one connection.
 
-    on_line: called with each complete line; on_closed: called once, at the end of the connection.
+    on_line: called with each complete line; on_read: called after the lines of each read; on_closed: called
+    once, at the end of the connection; reads: schedules the reads of all connections of the node.
     """
 
-    def __init__(self, target: bytes, host: bytes, on_line: OnLine, on_closed: OnClosed) -> None:
+    def __init__(
+        self,
+        target: bytes,
+        host: bytes,
+        on_line: OnLine,
+        on_closed: OnClosed,
+        on_read: OnRead = lambda _: None,
+        reads: ReadScheduler | None = None,
+    ) -> None:
+        self._on_read = on_read
+        self._reads = reads
+        self._reader: ConnectionReader | None = None
+        # The work of the present read, in parsed parts.
+        self._work = 0
         self._request = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, host)
         self._on_line = on_line
         self._on_closed = on_closed
@@ -81,10 +100,33 @@
         # uvloop's transports are not subclasses of asyncio.Transport.
         self.transport = cast(asyncio.Transport, transport)
         self._parser = httptools.HttpResponseParser(self)
+        if self._reads is not None:
+            self._reader = ConnectionReader(self.transport, self._reads)
         self.transport.write(self._request)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002  asyncio's signature
+        """Return the buffer of the next read."""
+        assert self._reads is not None
+        return self._reads.buffer[: self._max_read_bytes()]
+
+    def _max_read_bytes(self) -> int:
+        return READ_BYTES if self._reader is None else self._reader.max_read_bytes(READ_BYTES)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that were read."""
+        assert self._reads is not None
+        filled = nbytes == self._max_read_bytes()
+        self.data_received(self._reads.buffer[:nbytes])
+        if self._reader is not None:
+            self._reader.finish_read(nbytes, self._work, filled=filled)
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes."""
+        self._work = 0
+        self._parse(data)
+        self._on_read(self)
+
+    def _parse(self, data: bytes | memoryview) -> None:
         assert self._parser is not None
         try:
             self._parser.feed_data(data)
@@ -98,6 +140,7 @@
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  asyncio's signature
         """Report the end of the watch."""
         self._parser = None
+        self._reader = None
         self._on_closed(self)
 
     def on_headers_complete(self) -> None:
@@ -109,6 +152,7 @@
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body."""
         self._parts.append(part)
+        self._work += 1
 
     def _split_lines(self) -> None:
         """Split the body into lines once for each read: a list may arrive in chunks of a byte."""
@@ -121,6 +165,7 @@
             self._partial_line.clear()
         self._partial_line += rest
         for line in lines:
+            self._work += PARTS_PER_LINE if line else 1
             self._on_line(self, line)
         if len(self._partial_line) > MAX_LIST_BYTES:
             log.warning("discovery: a line is longer than %d bytes", MAX_LIST_BYTES)
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -126,7 +126,7 @@
         )
         self._requests.time_left_s = self._drain.time_left_s
         self._admin = self._make_admin_server(sockets)
-        self._discovery = self._make_discovery_client()
+        self._discovery = self._make_discovery_client(reads)
         self._connect_dispatcher(health_check)
 
     def _unopened_connections(self) -> int:
@@ -149,7 +149,7 @@
             max_connections=max(MIN_ADMIN_CONNECTIONS, int(ADMIN_SOCKET_FRACTION * sockets)),
         )
 
-    def _make_discovery_client(self) -> DiscoveryClient:
+    def _make_discovery_client(self, reads: ReadScheduler) -> DiscoveryClient:
         settings = self._config.settings
         return DiscoveryClient(
             self._config.discovery,
@@ -159,6 +159,7 @@
             call_timeout_s=LIST_CALL_FRACTION * settings.list_poll_ms / 1000.0,
             on_list=self._on_list,
             on_failed=lambda: self._events.post(EndpointList(ListKind.FAILED)),
+            reads=reads,
         )
 
     def _connect_dispatcher(self, health_check: bytes) -> None:
@@ -347,7 +348,8 @@
     def _on_list(self, listing: Listing) -> None:
         self._pool.update(listing)
         self._events.post(listing.event())
-        self._memory.check()
+        if listing.entries:
+            self._memory.check()
         if self._state_writer is not None:
             self._state_writer.record_list(listing.complete, listing.version, listing.raw)
         self._on_initial_list_done()
