Tests of the memory monitor; nodes inside the test process do not see its memory

Need: a node inside the test process would take the memory of the whole suite for its own, which differs between machines. Tests of processes are unchanged.

--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -13,11 +13,13 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
+from unittest.mock import patch
 
 import uvloop
 
 from crowpost.decision_api import read_settings
 from crowpost.membership.configuration import MembershipConfig
+from crowpost.node import memory_monitor
 from crowpost.node.configuration import Config, Limits, flat
 from crowpost.node.discovery.endpoint_list import Naming
 from crowpost.node.node import Node
@@ -26,6 +28,8 @@
 HOST = "127.0.0.1"
 # The timeout for events that must happen; only a failing test reaches it.
 WAIT_TIMEOUT_S = 20.0
+# The memory of a node at rest.
+NODE_MEMORY_BYTES = 16_000_000
 
 
 def run(main: Coroutine[Any, Any, None]) -> None:
@@ -405,11 +409,13 @@
             members=members,
             state=state,
         )
-        node = Node(config)
-        address = await node.start()
-        serving = asyncio.create_task(node.wait())
-        try:
-            yield RunningNode(node, address, discovery, serving)
-        finally:
-            node.stop()
-            await asyncio.wait_for(serving, WAIT_TIMEOUT_S)
+        # The memory of the test process is not that of a node; tests of processes see the real one.
+        with patch.object(memory_monitor, "resident_bytes", return_value=NODE_MEMORY_BYTES):
+            node = Node(config)
+            address = await node.start()
+            serving = asyncio.create_task(node.wait())
+            try:
+                yield RunningNode(node, address, discovery, serving)
+            finally:
+                node.stop()
+                await asyncio.wait_for(serving, WAIT_TIMEOUT_S)
