Look whether a client has left with one poll object for each connection

Need: the look before each attempt made a poll object each time; the memory check split all of /proc/self/status.

--- a/crowpost/node/downstream/connection_status.py
+++ b/crowpost/node/downstream/connection_status.py
@@ -10,7 +10,7 @@
 from crowpost.node.byte_budget import RequestReservation, Reservation
 from crowpost.node.downstream import timeouts
 from crowpost.node.downstream.exchange import Exchange
-from crowpost.node.downstream.sockets import peer_has_closed
+from crowpost.node.downstream.sockets import PeerWatch
 from crowpost.node.http.body import Upload
 from crowpost.node.http.parser import MessageParser
 from crowpost.node.reading import ConnectionReader
@@ -42,6 +42,7 @@
         self._input: Reservation = RequestReservation(listener.budget)
         self._transport: asyncio.Transport | None = None
         self._reader: ConnectionReader | None = None
+        self._peer_watch: PeerWatch | None = None
         self._exchanges: deque[Exchange] = deque()
         # Whether input is discarded because the last response has been written.
         self._discarding = False
@@ -164,4 +165,6 @@
         """Return whether the client has closed its end, even if the node has not read up to there."""
         if self._transport is None or self._transport.is_closing():
             return True
-        return peer_has_closed(self._transport)
+        if self._peer_watch is None:
+            self._peer_watch = PeerWatch(self._transport)
+        return self._peer_watch.has_closed()
--- a/crowpost/node/downstream/sockets.py
+++ b/crowpost/node/downstream/sockets.py
@@ -35,11 +35,20 @@
     return listener
 
 
-def peer_has_closed(transport: asyncio.Transport) -> bool:
-    """Return whether the peer has closed its end, even while reading from the transport is paused."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
+class PeerWatch:
+    """Shows whether the peer of a connection has closed its end, even while nothing is read from it."""
+
+    __slots__ = ("_poll",)
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._poll = select.poll()
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            self._poll.register(sock.fileno(), select.POLLRDHUP)
+
+    def has_closed(self) -> bool:
+        """Return whether the peer has closed its end; the connection must be open."""
+        return bool(self._poll.poll(0))
 
 
 def unread_s(transport: asyncio.Transport) -> float:
--- a/crowpost/node/memory_monitor.py
+++ b/crowpost/node/memory_monitor.py
@@ -28,12 +28,17 @@
 def resident_bytes() -> int | None:
     """Return the anonymous and shared memory of this process; None where the system does not tell."""
     try:
-        lines = STATUS_FILE.read_bytes().splitlines()
-        return sum(1024 * int(line.split()[1]) for line in lines if line.startswith(COUNTED_FIELDS))
-    except (OSError, ValueError, IndexError):
+        status = STATUS_FILE.read_bytes()
+        return sum(_kilobytes(status, field) for field in COUNTED_FIELDS) * 1024
+    except (OSError, ValueError):
         return None
 
 
+def _kilobytes(status: bytes, field: bytes) -> int:
+    start = status.index(field) + len(field)
+    return int(status[start : status.index(b"kB", start)])
+
+
 def trim_heap() -> None:
     """Return free memory between used pieces of the heap to the system, where the C library can do that."""
     # Imported only where it is needed: most processes never get here.
