--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -71,6 +71,8 @@
 WATCH_S = 2.0
 WATCH_INTERVAL_S = 0.02
 UPGRADE_WATCH_S = 0.5
+# RssAnon and RssShmem; a process that has ended has neither.
+COUNTED_FIELDS = 2
 # The most endpoints that the operators name, and how often all of them are replaced here.
 MOST_ENDPOINTS = 3200
 LIST_INTERVAL_S = 0.7
@@ -116,7 +118,9 @@
 def own_memory_bytes(process: asyncio.subprocess.Process) -> int:
     """Return the memory of the process that counts: anonymous pages and those of files in memory."""
     status = Path(f"/proc/{process.pid}/status").read_text()
-    return sum(1024 * int(size) for size in re.findall(r"Rss(?:Anon|Shmem):\s+(\d+) kB", status))
+    found = re.findall(r"Rss(?:Anon|Shmem):\s+(\d+) kB", status)
+    assert len(found) == COUNTED_FIELDS, "the process has ended"
+    return sum(1024 * int(size) for size in found)
 
 
 async def send_and_stop(address: tuple[str, int], text: bytes) -> socket.socket:
@@ -140,10 +144,13 @@
 
 
 async def tell_lists(discovery: StubDiscovery, count: int, servers: Sequence[StubServer]) -> None:
-    """Tell a node one list after another."""
+    """Tell a node one list after another, on the watch that it opened last."""
     watch = await discovery.watch()
     for generation in itertools.count(2):
-        send_line(watch, endpoint_list(generation, count, servers))
+        while not discovery.watches.empty():
+            watch = discovery.watches.get_nowait()
+        with contextlib.suppress(RuntimeError):  # closed, and the next one is about to be opened
+            send_line(watch, endpoint_list(generation, count, servers))
         await asyncio.sleep(LIST_INTERVAL_S)
 
 
@@ -178,6 +185,7 @@
             await asyncio.sleep(WATCH_INTERVAL_S)
             peak = max(peak, own_memory_bytes(process))
         assert (await (await Client.connect(address)).ask(target="/ready")).status == 200
+        assert lists is None or not lists.done(), "the lists were not told to the end"
         process.kill()
         await process.wait()
         await log
