--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -76,6 +76,7 @@
 # The most endpoints that the operators name, and how often all of them are replaced here.
 MOST_ENDPOINTS = 3200
 LIST_INTERVAL_S = 0.7
+LISTS_WATCH_S = 12.0
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -219,6 +220,54 @@
     run(main())
 
 
+def files_of_all_parts(directory: Path) -> dict[str, str]:
+    """Write a configuration of membership, the state directory and the feed; return their variables."""
+    texts = {
+        "NODE_MEMBERS": f'[members]\ncluster = "c"\nlisten = "{HOST}:0"\njoin = ["{HOST}:1"]\n',
+        "NODE_STATE": f'[state]\ndirectory = "{directory}/state"\n',
+        "NODE_FEED": f'[feed]\ncluster = "c"\nregion = "r"\nzone = "z"\nservice = "s"\n'
+        f'directory = "{directory}/feed"\n[[feed.upstreams]]\naddress = "{HOST}:1"\nregion = "r"\n',
+    }
+    for variable, text in texts.items():
+        (directory / f"{variable}.toml").write_text(text)
+    return {variable: str(directory / f"{variable}.toml") for variable in texts}
+
+
+@pytest.mark.parametrize("endpoints", [790, MOST_ENDPOINTS])
+def test_a_process_with_all_parts_on_stays_below_its_memory_limit(endpoints: int, tmp_path: Path) -> None:
+    """Guards against endpoint lists that wait for a slow state directory and are bounded by nothing."""
+
+    async def main() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            servers = [
+                await stack.enter_async_context(StubServer([reply("200 OK", b"served")]))
+                for _ in range(SERVERS)
+            ]
+            discovery = await stack.enter_async_context(StubDiscovery())
+            config = tmp_path / "config.json"
+            raw = node_configuration(*servers, memory_mb=MEMORY_MB, sockets=SOCKETS)
+            raw["known"] = endpoint_list(1, endpoints, servers)
+            config.write_text(json.dumps(raw))
+            environment = {**node_environment(discovery, config), **files_of_all_parts(tmp_path)}
+            process = await stack.enter_async_context(running_process(await start_node(environment)))
+            await logged_address(process, "listens")
+            assert process.stderr is not None
+            log = asyncio.create_task(process.stderr.read())
+            lists = asyncio.create_task(tell_lists(discovery, endpoints, servers))
+            peak = 0
+            for _ in range(int(LISTS_WATCH_S / WATCH_INTERVAL_S)):
+                await asyncio.sleep(WATCH_INTERVAL_S)
+                peak = max(peak, own_memory_bytes(process))
+            assert not lists.done(), "the lists were not told to the end"
+            lists.cancel()
+            process.kill()
+            await process.wait()
+            await log
+            assert peak < MAX_MEMORY_BYTES, f"{peak / 1e6:.1f} MB"
+
+    run(main())
+
+
 # ---------------------------------------------------------------- the budget
 
 
