Bound the endpoint lists that wait for the state directory by their endpoints

A node with a state directory that is told 3,200 endpoints anew every 0.7 s held up to 400 parts of 250 endpoints as dictionaries: 61.3 MB of 32 after 12 s, growing. The bound counted parts, not what they hold.

--- a/crowpost/node/state/writer.py
+++ b/crowpost/node/state/writer.py
@@ -35,7 +35,9 @@
 
 log = logging.getLogger(__name__)
 
-MAX_WAITING_LIST_PARTS = 400  # a longer queue is replaced by a snapshot of the list
+# A queue of more parts, or of parts with more endpoints, is replaced by a snapshot of the list.
+MAX_WAITING_LIST_PARTS = 400
+MAX_WAITING_ENDPOINTS = 1000
 BURST_BYTES = 1 << 20
 POLL_INTERVAL_S = 0.1  # interval between checks for data to write, and for a released directory
 # The first pause before a directory is opened again after a write or sync has failed, and the longest: each
@@ -81,6 +83,7 @@
         self._loop = asyncio.get_running_loop()
         self._runner: StoreRunner | None = None  # None until this process has locked the directory
         self._waiting_list_parts: deque[EndpointListPart] = deque()
+        self._waiting_endpoints = 0
         self._timer: asyncio.TimerHandle | None = None
         self._next_learned_at = 0.0
         self._position = 0  # position in the pool of the endpoints to be written next
@@ -89,6 +92,8 @@
         self._closing: asyncio.Task[None] | None = None
         self._take_over_task: asyncio.Task[None] | None = None
         self._log_bytes_at_snapshot = 0
+        # Whether a snapshot is to be written as soon as possible, in place of list parts.
+        self._snapshot_due = False
         # When the directory may be opened again after a failure, in the loop's time, and the pause before.
         self._reopen_at = 0.0
         self._reopen_pause_s = 0.0
@@ -177,8 +182,7 @@
             return
         self._runner = None
         runner.abandon()
-        while self._waiting_list_parts:
-            self.state.apply(self._waiting_list_parts.popleft())
+        self._apply_waiting_list_parts()
         self._pause_before_reopening()
 
     def _pause_before_reopening(self) -> None:
@@ -194,6 +198,7 @@
         self._last_sequence = 0
         log_event("resumed", path=str(self._config.directory))
         self._append(Evacuation(self.state.evacuated), Durability.ACKNOWLEDGED)
+        self._snapshot_due = False
         self._runner.write_snapshot(self.state.snapshot_pieces())
         self._log_bytes_at_snapshot = self._runner.store.counters.log_bytes
 
@@ -209,10 +214,33 @@
         if self.damage or self._closing is not None:
             return
         for part in split_list(reset, generation, instances):
-            if self._runner is None or self._runner.store.failure:
+            if self._snapshot_due or self._runner is None or self._runner.store.failure:
                 self.state.apply(part)
             else:
                 self._waiting_list_parts.append(part)
+                self._waiting_endpoints += len(part.instances)
+            if self._too_much_waits():
+                self._replace_waiting_by_snapshot()
+
+    def _too_much_waits(self) -> bool:
+        return (
+            len(self._waiting_list_parts) > MAX_WAITING_LIST_PARTS
+            or self._waiting_endpoints > MAX_WAITING_ENDPOINTS
+        )
+
+    def _take_waiting_list_part(self) -> EndpointListPart:
+        part = self._waiting_list_parts.popleft()
+        self._waiting_endpoints -= len(part.instances)
+        return part
+
+    def _apply_waiting_list_parts(self) -> None:
+        while self._waiting_list_parts:
+            self.state.apply(self._take_waiting_list_part())
+
+    def _replace_waiting_by_snapshot(self) -> None:
+        """Apply all queued list parts and make a snapshot due: parts are queued faster than written."""
+        self._apply_waiting_list_parts()
+        self._snapshot_due = True
 
     def record_incarnation(self, number: int) -> None:
         """Record the incarnation number of this node in the membership."""
@@ -261,27 +289,23 @@
     def _write_next(self, runner: StoreRunner) -> None:
         """Write the next part of a list, or else of the learned values, and a snapshot if one is due."""
         store = runner.store
-        if len(self._waiting_list_parts) > MAX_WAITING_LIST_PARTS:
-            self._collapse_list_parts()
         if store.failure or store.durable_sequence < self._last_sequence:
             return  # the write budget is used up, or the disk is slow
-        if self._waiting_list_parts:
-            self._append(self._waiting_list_parts.popleft())
+        if self._snapshot_due:
+            # A snapshot has the number of the last record, and the last one may have that number already.
+            self._append(LearnedLimit(self._clock(), self._source.limit_each))
+        elif self._waiting_list_parts:
+            self._append(self._take_waiting_list_part())
         else:
             self._write_learned()
-        log_bytes = store.counters.log_bytes
-        is_due = log_bytes - self._log_bytes_at_snapshot >= self._config.snapshot_bytes
+        log_bytes = store.counters.log_bytes - self._log_bytes_at_snapshot
+        is_due = self._snapshot_due or log_bytes >= self._config.snapshot_bytes
         if is_due and self.state.staged is None:
+            self._snapshot_due = False
             runner.write_snapshot(self.state.snapshot_pieces())
             # Read the counter again, as the job of the snapshot may have sealed a segment.
             self._log_bytes_at_snapshot = store.counters.log_bytes
 
-    def _collapse_list_parts(self) -> None:
-        """Apply all queued list parts and make a snapshot due: parts are queued faster than written."""
-        while self._waiting_list_parts:
-            self.state.apply(self._waiting_list_parts.popleft())
-        self._log_bytes_at_snapshot = -self._config.snapshot_bytes
-
     def _write_learned(self) -> None:
         """Write the learned values of the next endpoints; also the limit, once per pass over the pool."""
         now = self._clock()
@@ -315,14 +339,20 @@
         # An error that stopped writing was logged when it occurred.
         with suppress(StoreError):
             while self._waiting_list_parts:
-                runner.append(self._waiting_list_parts.popleft().encode(), Durability.DELAYED)
+                self._append_last(runner, self._take_waiting_list_part())
                 await asyncio.sleep(0)
             now = self._clock()
-            learned = LearnedEndpoints(now, self._source.remember(0, ENDPOINTS_PER_RECORD))
-            runner.append(learned.encode(), Durability.DELAYED)
-            runner.append(LearnedLimit(now, self._source.limit_each).encode(), Durability.DELAYED)
+            learned = self._source.remember(0, ENDPOINTS_PER_RECORD)
+            self._append_last(runner, LearnedEndpoints(now, learned))
+            self._append_last(runner, LearnedLimit(now, self._source.limit_each))
+            if self._snapshot_due:
+                runner.write_snapshot(self.state.snapshot_pieces())
         await runner.close()
 
+    def _append_last(self, runner: StoreRunner, record: NodeRecord) -> None:
+        self.state.apply(record)
+        runner.append(record.encode(), Durability.DELAYED)
+
     def metrics(self) -> dict[str, float]:
         """Return the metrics of the state directory by name, for /api/telemetry."""
         store = self._runner.store if self._runner is not None else None
--- a/tests/node/state/test_writer.py
+++ b/tests/node/state/test_writer.py
@@ -18,6 +18,7 @@
 from crowpost.node.state.records import (
     Evacuation,
 )
+from crowpost.node.state.writer import MAX_WAITING_ENDPOINTS
 from crowpost.storage.config import StateConfig
 from crowpost.storage.model import Durability
 from crowpost.storage.runner import inspect_store
@@ -251,6 +252,31 @@
     run(main())
 
 
+@pytest.mark.parametrize("ends_at_once", [False, True])
+def test_the_last_of_many_long_lists_is_stored(ends_at_once: bool, tmp_path: Path) -> None:
+    """Guards against a list that is neither in the log nor in a snapshot."""
+    versions = range(2, 6)
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server:
+            rare = StateConfig(tmp_path / "state", "n0", write_interval_ms=1e9)
+            async with running_node(row("a", server.address), state=rare) as running:
+                assert running.node._state_writer is not None
+                writer = running.node._state_writer
+                rows = [row(f"s{index}", server.address) for index in range(2 * MAX_WAITING_ENDPOINTS)]
+                for version in versions:
+                    writer.record_list(True, version, rows)
+                    if not ends_at_once:
+                        done = version - versions[0] + 1
+                        await until(lambda done=done: writer.metrics()["state_snapshots"] >= done)
+                if ends_at_once:
+                    await writer.close()
+            state = read_node_state(inspect_store(tmp_path / "state"))
+            assert (state.generation, len(state.instances)) == (versions[-1], 2 * MAX_WAITING_ENDPOINTS)
+
+    run(main())
+
+
 def test_a_malformed_record_is_reported_and_the_node_serves(tmp_path: Path) -> None:
     async def main() -> None:
         write_malformed_list(tmp_path / "state")
