Hold an endpoint list once while it is parsed and applied

Cause: a list was held as four copies of its text, as dictionaries and as entries at the same time; the configuration and the feed's overlays kept the list of the start for ever. Change: each object of a list becomes an entry as soon as it is parsed (object_hook), packed too where a state directory needs it; the text is not copied; the start's list is dropped after the start.

--- a/crowpost/__main__.py
+++ b/crowpost/__main__.py
@@ -15,6 +15,8 @@
 
 async def _serve(config: Config) -> None:
     node = Node(config)
+    # Its endpoint list is needed at the start only.
+    del config
     # Objects that exist now live as long as the node: exclude them from garbage collection.
     gc.freeze()
     await node.start()
@@ -25,8 +27,7 @@
     """Run the node; return 0 after SIGTERM, and 2 with one line on standard error for a bad configuration."""
     log_output.install()
     try:
-        config = load(os.environ)
-        uvloop.run(_serve(config))
+        uvloop.run(_serve(load(os.environ)))
     except ConfigError as error:
         print(f"crowpost: {error}", file=sys.stderr)
         return 2
--- a/crowpost/node/configuration.py
+++ b/crowpost/node/configuration.py
@@ -76,6 +76,8 @@
         environment = inputs.environment
         raw = inputs.raw
     config = read_config(environment, raw, path)
+    if overlays is not None:
+        overlays.forget_endpoint_list()
     return replace(
         config,
         members=_load_membership(environment, name),
--- a/crowpost/node/configuration_overlays.py
+++ b/crowpost/node/configuration_overlays.py
@@ -178,6 +178,11 @@
         """The environment and the merged configuration that the node starts with."""
         return StartInputs(self._effective_environment(), self._running)
 
+    def forget_endpoint_list(self) -> None:
+        """Drop the last known endpoint list of the file, which only a start needs and which may be long."""
+        self._file = {key: value for key, value in self._file.items() if key != KNOWN_ENDPOINTS_KEY}
+        self._running = _merge(self._file, self._applied)
+
     def _effective_environment(self) -> Mapping[str, str]:
         """Return the environment without discovery if a document sets it.
 
--- a/crowpost/node/discovery/client.py
+++ b/crowpost/node/discovery/client.py
@@ -6,7 +6,6 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import replace
 
 from crowpost.node.discovery.endpoint_list import ListError, Listing, Naming
 from crowpost.node.discovery.watch import Watch
@@ -100,7 +99,15 @@
         host, port = self.address
         target = b"/v1/endpoints?watch=1&from=%d" % self._version
         authority = b"%s:%d" % (host.encode(), port)
-        watch = Watch(target, authority, self._on_line, self._on_closed, self._on_read, self._reads)
+        watch = Watch(
+            target,
+            authority,
+            self._on_line,
+            self._on_closed,
+            self._on_read,
+            self._reads,
+            self._naming.shorten,
+        )
         self._watch = watch
         self._set_timeout(min(self._call_timeout_s, FIRST_LINE_TIMEOUT_S))
         try:
@@ -124,7 +131,8 @@
             raw = watch.objects.take(line)
             if raw is None:
                 return  # the timeout keeps running: a part of a list does not count as progress
-            listing = replace(self._naming.read(raw), raw=raw["instances"])
+            listing = self._naming.read(raw)
+            del raw
         except (ValueError, ListError) as error:
             log.warning("discovery: invalid line in a watch: %s", error)
             self._fail()
--- a/crowpost/node/discovery/endpoint_list.py
+++ b/crowpost/node/discovery/endpoint_list.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,6 +14,8 @@
     "DRAINING": Readiness.DRAINING,
     "DELETED": Readiness.GONE,
 }
+# What conversions raise for values of another type or beyond the range.
+INVALID_VALUE_ERRORS = (TypeError, ValueError, AttributeError)
 
 
 class ListError(NodeError):
@@ -28,8 +31,8 @@
     complete: bool
     entries: tuple[EndpointEntry, ...]
     addresses: dict[EndpointId, tuple[str, int]]
-    # The entries as discovery sent them; empty for a cached list.
-    raw: list[dict[str, Any]] = field(default_factory=list)
+    # The entries as discovery sent them, packed, where they are kept.
+    packed: list[bytes] = field(default_factory=list)
 
     def event(self, *, cached: bool = False) -> EndpointList:
         """Return the event for the decision module."""
@@ -37,31 +40,61 @@
         return EndpointList(ListKind.CACHED if cached else kind, self.entries, self.version)
 
 
+@dataclass(frozen=True, slots=True)
+class ListedEndpoint:
+    """One entry of a list, with its address, and as discovery sent it, packed, where that is kept."""
+
+    entry: EndpointEntry
+    address: tuple[str, int]
+    packed: bytes | None
+
+
 @dataclass(slots=True)
 class Naming:
-    """Maps discovery's names of zones, machine types and cells to the balancer's indices."""
+    """Maps discovery's names of zones, machine types and cells to the balancer's indices.
+
+    pack: packs an entry as discovery sent it; None if these are not kept.
+    """
 
     zones: tuple[str, ...]
     models: tuple[str, ...]
+    pack: Callable[[dict[str, Any]], bytes] | None = None
     _others: dict[tuple[str, str], int] = field(default_factory=dict)
 
     def read(self, raw: Any) -> Listing:
         """Return the list in a JSON object from discovery; raise ListError if it is invalid."""
         try:
-            instances = raw["instances"]
-            entries = []
-            addresses = {}
-            for item in instances:
-                entry = self._entry(item)
-                entries.append(entry)
-                host, _, port = item["hostPort"].rpartition(":")
-                addresses[entry.server] = (host, int(port))
-            return Listing(int(raw["generation"]), bool(raw["reset"]), tuple(entries), addresses)
+            listed = [
+                item if isinstance(item, ListedEndpoint) else self._listed(item) for item in raw["instances"]
+            ]
+            return Listing(
+                int(raw["generation"]),
+                bool(raw["reset"]),
+                tuple(each.entry for each in listed),
+                {each.entry.server: each.address for each in listed},
+                [each.packed for each in listed if each.packed is not None],
+            )
         except KeyError as error:
             raise ListError(f"{error} is missing or unknown") from error
-        except (TypeError, ValueError, AttributeError) as error:
+        except INVALID_VALUE_ERRORS as error:
             raise ListError(f"not a list of servers: {error}") from error
 
+    def shorten(self, item: dict[str, Any]) -> dict[str, Any] | ListedEndpoint:
+        """Return an entry of a list in place of its JSON object; other objects stay as they are.
+
+        Used while a list is parsed, as thousands of dictionaries take megabytes.  Invalid entries are left to
+        `read`, which reports them.
+        """
+        try:
+            return self._listed(item)
+        except (KeyError, *INVALID_VALUE_ERRORS):
+            return item
+
+    def _listed(self, item: dict[str, Any]) -> ListedEndpoint:
+        host, _, port = item["hostPort"].rpartition(":")
+        packed = None if self.pack is None else self.pack(item)
+        return ListedEndpoint(self._entry(item), (host, int(port)), packed)
+
     def _entry(self, item: dict[str, Any]) -> EndpointEntry:
         return EndpointEntry(
             server=item["instanceId"].encode(),
--- a/crowpost/node/discovery/watch.py
+++ b/crowpost/node/discovery/watch.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import re
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -21,18 +22,34 @@
 # Called once, with a watch whose connection has ended.
 OnClosed = Callable[["Watch"], None]
 
+# Called with each JSON object, before the one that contains it; returns what takes its place.
+ObjectHook = Callable[[dict[str, Any]], Any]
+
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 # Enough for about ten thousand endpoints, over one line or several.
 MAX_LIST_BYTES = 4 * 1024 * 1024
 # The work of a line that is not empty, which may change the list, as a number of parsed parts.
 PARTS_PER_LINE = 64
 
 
+def depth_change(line: bytes) -> int:
+    """Return how many more objects a line opens than it closes; strings of JSON do not span lines."""
+    outside_strings = STRING.sub(b"", line)
+    return outside_strings.count(b"{") - outside_strings.count(b"}")
+
+
 class ObjectAssembler:
-    """Assembles JSON objects from lines: an object may be indented and span several lines."""
+    """Assembles JSON objects from lines: an object may be indented and span several lines.
+
+    object_hook: replaces each object as soon as it is parsed, as for `json.loads`.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, object_hook: ObjectHook | None = None) -> None:
+        self._object_hook = object_hook
         # The lines of an incomplete object, as one piece: thousands of short lines would take far more.
         self._text = bytearray()
+        # How many objects of these lines are open.
+        self._depth = 0
 
     def in_object(self) -> bool:
         """Return whether an object has begun and is not complete."""
@@ -41,24 +58,36 @@
     def take(self, line: bytes) -> Any:
         """Return the object that ends with this line; None if it is still incomplete.
 
-        Raise ValueError if the lines cannot form an object.  Only the first line and those that may end an
+        Raise ValueError if the lines cannot form an object.  Only the first line and the one that closes the
         object are parsed, so that an object over many lines costs no more than one on a single line.
         """
         is_first = not self._text
-        self._text += line + b"\n"
-        if len(self._text) > MAX_LIST_BYTES:
+        if len(self._text) + len(line) > MAX_LIST_BYTES:
             raise ValueError(f"the list is longer than {MAX_LIST_BYTES} bytes")
-        if not is_first and not line.rstrip().endswith(b"}"):
+        if is_first:
+            # A list on one line is parsed without a copy.
+            complete = self._parse(line)
+            if complete is not None:
+                return complete
+        self._text += line
+        self._text += b"\n"
+        self._depth += depth_change(line)
+        if is_first or self._depth > 0:
             return None
-        text = self._text.decode()
+        complete = self._parse(self._text)
+        if complete is not None:
+            self._text.clear()
+            self._depth = 0
+        return complete
+
+    def _parse(self, text: bytes | bytearray) -> Any:
+        decoded = text.decode()
         try:
-            complete = json.loads(text)
+            return json.loads(decoded, object_hook=self._object_hook)
         except json.JSONDecodeError as error:
-            if error.pos < len(text.rstrip()):
+            if error.pos < len(decoded.rstrip()):
                 raise
             return None
-        self._text.clear()
-        return complete
 
 
 class Watch(asyncio.BufferedProtocol):
@@ -76,6 +105,7 @@
         on_closed: OnClosed,
         on_read: OnRead = lambda _: None,
         reads: ReadScheduler | None = None,
+        object_hook: ObjectHook | None = None,
     ) -> None:
         self._on_read = on_read
         self._reads = reads
@@ -90,7 +120,7 @@
         # The parts of the body from the current read, and the incomplete line from earlier ones.
         self._parts: list[bytes] = []
         self._partial_line = bytearray()
-        self.objects = ObjectAssembler()
+        self.objects = ObjectAssembler(object_hook)
         # Whether the watch has delivered a list, or an empty line that means no change.
         self.answered = False
         self.transport: asyncio.Transport | None = None
@@ -161,7 +191,8 @@
         *lines, rest = b"".join(self._parts).split(b"\n")
         self._parts.clear()
         if lines:
-            lines[0] = bytes(self._partial_line) + lines[0]
+            self._partial_line += lines[0]
+            lines[0] = bytes(self._partial_line)
             self._partial_line.clear()
         self._partial_line += rest
         for line in lines:
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -187,6 +187,7 @@
             self._loop.add_signal_handler(signal_number, self.terminate)
         self._loop.add_signal_handler(signal.SIGHUP, self.reconfigure)
         known = self._open_state(self._config.known)
+        self._config = replace(self._config, known=None)
         if known is not None:
             self._pool.update(known)
             self._events.post(known.event(cached=True))
@@ -220,12 +221,14 @@
         """
         if self._config.state is None:
             return known
+        from crowpost.node.state.records import pack_instance
         from crowpost.node.state.writer import NodeStateWriter
         from crowpost.storage.errors import StoreError
 
         def drain(evacuated: bool) -> bool:
             return self._drain.evacuate() if evacuated else self._drain.rejoin()
 
+        self._config.naming.pack = pack_instance
         self._state_writer = NodeStateWriter(self._config.state, self._balancer, self._clock.now, drain)
         try:
             self._state_writer.open()
@@ -346,12 +349,14 @@
             self.reconfigure()
 
     def _on_list(self, listing: Listing) -> None:
+        if self._state_writer is not None:
+            self._state_writer.record_packed_list(listing.complete, listing.version, listing.packed)
+            # Not kept while the list is applied, which needs memory too.
+            listing.packed.clear()
         self._pool.update(listing)
         self._events.post(listing.event())
         if listing.entries:
             self._memory.check()
-        if self._state_writer is not None:
-            self._state_writer.record_list(listing.complete, listing.version, listing.raw)
         self._on_initial_list_done()
 
     def _evacuate(self) -> AdminResponse | Awaitable[AdminResponse]:
--- a/crowpost/node/state/records.py
+++ b/crowpost/node/state/records.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, overload
 
 import msgpack
 
@@ -130,9 +130,39 @@
         )
 
 
+class PackedInstances(Sequence[Instance]):
+    """Endpoints that are unpacked only as they are read: packed they take a quarter of the memory."""
+
+    def __init__(self, packed: Sequence[bytes]) -> None:
+        self._packed = packed
+
+    def __len__(self) -> int:
+        """Return the number of endpoints."""
+        return len(self._packed)
+
+    @overload
+    def __getitem__(self, index: int) -> Instance: ...
+
+    @overload
+    def __getitem__(self, index: slice) -> list[Instance]: ...
+
+    def __getitem__(self, index: int | slice) -> Instance | list[Instance]:
+        """Return an endpoint, or a list of some."""
+        if isinstance(index, slice):
+            return [msgpack.unpackb(packed) for packed in self._packed[index]]
+        instance: Instance = msgpack.unpackb(self._packed[index])
+        return instance
+
+
 # ---------------------------------------------------------------- encoding
 
 
+def pack_instance(instance: Instance) -> bytes:
+    """Return an endpoint in the form that `PackedInstances` reads."""
+    packed: bytes = msgpack.packb(instance)
+    return packed
+
+
 def _pack(*values: Any) -> bytes:
     packed: bytes = msgpack.packb(values)
     return packed
--- a/crowpost/node/state/writer.py
+++ b/crowpost/node/state/writer.py
@@ -25,6 +25,7 @@
     LearnedEndpoints,
     LearnedLimit,
     NodeRecord,
+    PackedInstances,
     split_list,
 )
 from crowpost.storage.config import REFUSE_ON_DAMAGE, StateConfig
@@ -222,6 +223,10 @@
             if self._too_much_waits():
                 self._replace_waiting_by_snapshot()
 
+    def record_packed_list(self, reset: bool, generation: int, packed: Sequence[bytes]) -> None:
+        """Record a list from discovery or a change of it, whose endpoints are packed."""
+        self.record_list(reset, generation, PackedInstances(packed))
+
     def _too_much_waits(self) -> bool:
         return (
             len(self._waiting_list_parts) > MAX_WAITING_LIST_PARTS
--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
 import re
 import socket
@@ -77,6 +76,7 @@
 MOST_ENDPOINTS = 3200
 LIST_INTERVAL_S = 0.7
 LISTS_WATCH_S = 12.0
+CLIENT_INTERVAL_S = 0.005
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -144,15 +144,49 @@
     )
 
 
-async def tell_lists(discovery: StubDiscovery, count: int, servers: Sequence[StubServer]) -> None:
-    """Tell a node one list after another, on the watch that it opened last."""
-    watch = await discovery.watch()
-    for generation in itertools.count(2):
-        while not discovery.watches.empty():
-            watch = discovery.watches.get_nowait()
-        with contextlib.suppress(RuntimeError):  # closed, and the next one is about to be opened
-            send_line(watch, endpoint_list(generation, count, servers))
-        await asyncio.sleep(LIST_INTERVAL_S)
+class ChangingLists:
+    """Discovery, which replaces all endpoints again and again and tells each new watch the present list."""
+
+    def __init__(self, discovery: StubDiscovery, count: int, servers: Sequence[StubServer]) -> None:
+        self._discovery = discovery
+        self._count = count
+        self._servers = servers
+        self._generation = 1
+        self._watch: asyncio.StreamWriter | None = None
+
+    async def tell(self, seconds: float) -> None:
+        """Tell a new list in each interval, and make sure that the node has got the last one."""
+        watching = asyncio.create_task(self._take_watches())
+        for _ in range(int(seconds / LIST_INTERVAL_S)):
+            self._generation += 1
+            self._send()
+            await asyncio.sleep(LIST_INTERVAL_S)
+        assert self._watch is not None
+        self._watch.close()
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while f"from={self._generation}" not in self._discovery.targets[-1]:
+                await asyncio.sleep(WATCH_INTERVAL_S)
+        watching.cancel()
+
+    async def _take_watches(self) -> None:
+        while True:
+            self._watch = await self._discovery.watches.get()
+            self._send()
+
+    def _send(self) -> None:
+        if self._watch is not None:
+            with contextlib.suppress(RuntimeError):  # closed, and the next one is about to be opened
+                send_line(self._watch, endpoint_list(self._generation, self._count, self._servers))
+
+
+async def peak_during(process: asyncio.subprocess.Process, task: asyncio.Task[None]) -> int:
+    """Return the most memory of the process until the task has ended, in bytes."""
+    peak = 0
+    while not task.done():
+        peak = max(peak, own_memory_bytes(process))
+        await asyncio.sleep(WATCH_INTERVAL_S)
+    await task
+    return peak
 
 
 async def peak_with_stalled_clients(load: str, tmp_path: Path, endpoints: int = 0) -> int:
@@ -161,7 +195,6 @@
     endpoints: the length of the endpoint lists that the node is told meanwhile; 0 for one short list.
     """
     behaviour, text = LOADS[load]
-    peak = 0
     async with contextlib.AsyncExitStack() as stack:
         servers = [await stack.enter_async_context(StubServer([behaviour])) for _ in range(SERVERS)]
         discovery = await stack.enter_async_context(StubDiscovery())
@@ -176,21 +209,20 @@
         address = await logged_address(process, "listens")
         assert process.stderr is not None
         log = asyncio.create_task(process.stderr.read())
-        lists = asyncio.create_task(tell_lists(discovery, endpoints, servers)) if endpoints else None
+        watch_s = CLIENTS * CLIENT_INTERVAL_S + WATCH_S
+        waiting = ChangingLists(discovery, endpoints, servers).tell(watch_s) if endpoints else None
+        watch = asyncio.create_task(waiting or asyncio.sleep(watch_s))
+        peaks = asyncio.create_task(peak_during(process, watch))
         clients = []
         for _ in range(CLIENTS):
             clients.append(asyncio.create_task(send_and_stop(address, text)))
-            await asyncio.sleep(0.005)
-            peak = max(peak, own_memory_bytes(process))
-        for _ in range(int(WATCH_S / WATCH_INTERVAL_S)):
-            await asyncio.sleep(WATCH_INTERVAL_S)
-            peak = max(peak, own_memory_bytes(process))
+            await asyncio.sleep(CLIENT_INTERVAL_S)
+        peak = await peaks
         assert (await (await Client.connect(address)).ask(target="/ready")).status == 200
-        assert lists is None or not lists.done(), "the lists were not told to the end"
         process.kill()
         await process.wait()
         await log
-        for task in [*clients, *([lists] if lists is not None else [])]:
+        for task in clients:
             task.cancel()
         for ended in await asyncio.gather(*clients, return_exceptions=True):
             if isinstance(ended, socket.socket):
@@ -253,13 +285,8 @@
             await logged_address(process, "listens")
             assert process.stderr is not None
             log = asyncio.create_task(process.stderr.read())
-            lists = asyncio.create_task(tell_lists(discovery, endpoints, servers))
-            peak = 0
-            for _ in range(int(LISTS_WATCH_S / WATCH_INTERVAL_S)):
-                await asyncio.sleep(WATCH_INTERVAL_S)
-                peak = max(peak, own_memory_bytes(process))
-            assert not lists.done(), "the lists were not told to the end"
-            lists.cancel()
+            lists = asyncio.create_task(ChangingLists(discovery, endpoints, servers).tell(LISTS_WATCH_S))
+            peak = await peak_during(process, lists)
             process.kill()
             await process.wait()
             await log
