--- a/tests/node/test_watch.py
+++ b/tests/node/test_watch.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import time
 from unittest.mock import Mock
 
 import pytest
 
 from crowpost.node.discovery.client import FIRST_LINE_TIMEOUT_S
-from crowpost.node.discovery.watch import Watch
+from crowpost.node.discovery.watch import ObjectAssembler, Watch
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 # A list of about a thousand endpoints.
@@ -50,3 +51,16 @@
     for i in range(0, len(text), step):
         watch.data_received(text[i : i + step])
     assert lines == [b"first", b"", b"second"]
+
+
+def test_a_list_with_an_endpoint_on_each_line_is_parsed_once() -> None:
+    """Guards against a list that is parsed again for each line, which holds up the node."""
+    rows = [{"instanceId": f"s-{index}}}{{", "hostPort": "127.0.0.1:1"} for index in range(3200)]
+    text = json.dumps({"generation": 2, "instances": rows}).replace("}, {", "}\n,\n{")
+    assembler = ObjectAssembler()
+    began = time.process_time()
+    *incomplete, complete = [assembler.take(line) for line in text.encode().split(b"\n")]
+    assert time.process_time() - began < FIRST_LINE_TIMEOUT_S
+    assert incomplete == [None] * (2 * len(rows) - 2)
+    assert complete["instances"] == rows
+    assert not assembler.in_object()
