--- a/crowpost/node/discovery/endpoint_list.py
+++ b/crowpost/node/discovery/endpoint_list.py
@@ -15,7 +15,7 @@
     "DELETED": Readiness.GONE,
 }
 # What conversions raise for values of another type or beyond the range.
-INVALID_VALUE_ERRORS = (TypeError, ValueError, AttributeError)
+INVALID_VALUE_ERRORS = (TypeError, ValueError, AttributeError, OverflowError)
 
 
 class ListError(NodeError):
--- a/crowpost/node/discovery/watch.py
+++ b/crowpost/node/discovery/watch.py
@@ -88,6 +88,8 @@
             if error.pos < len(decoded.rstrip()):
                 raise
             return None
+        except RecursionError as error:
+            raise ValueError("the list is nested too deeply") from error
 
 
 class Watch(asyncio.BufferedProtocol):
--- a/tests/faults/test_discovery_flood.py
+++ b/tests/faults/test_discovery_flood.py
@@ -16,7 +16,17 @@
     running_process,
     start_node,
 )
-from tests.node.stubs import HOST, Client, StubDiscovery, StubServer, reply, run
+from tests.node.stubs import (
+    HOST,
+    Client,
+    StubDiscovery,
+    StubServer,
+    listing,
+    reply,
+    row,
+    run,
+    send_line,
+)
 from tests.node.test_memory import MAX_MEMORY_BYTES, MEMORY_MB, SOCKETS, own_memory_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -66,3 +76,43 @@
             process.kill()
 
     run(main())
+
+
+HUGE = "1" + "0" * 400
+UNSOUND_LINES = {
+    "nested arrays": b"[" * 60_000,
+    "nested objects": b'{"a":' * 30_000,
+    "a huge weight": json.dumps(listing(2, row("b", f"{HOST}:1"))).replace("1.0", HUGE).encode(),
+    "an infinite generation": json.dumps(listing(2)).replace("2", "1e999").encode(),
+}
+
+
+@pytest.mark.parametrize("line", UNSOUND_LINES)
+def test_an_unsound_line_of_discovery_is_reported_and_the_next_list_is_used(
+    line: str, tmp_path: Path
+) -> None:
+    """Guards against exceptions that reach the event loop from a line of discovery."""
+
+    async def main() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            server = await stack.enter_async_context(StubServer([reply("200 OK", b"served")]))
+            discovery = await stack.enter_async_context(StubDiscovery())
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps(node_configuration()))
+            process = await start_node(node_environment(discovery, config))
+            await stack.enter_async_context(running_process(process))
+            address = await logged_address(process, "listens")
+            unsound = await discovery.watch()
+            send_line(unsound, UNSOUND_LINES[line])
+            sound = await discovery.watch()
+            send_line(sound, listing(3, row("a", server.address)))
+            while (await (await Client.connect(address)).ask(target="/ready")).status != 200:
+                await asyncio.sleep(PAUSE_S)
+            assert (await (await Client.connect(address)).ask("look")).status == 200
+            process.kill()
+            assert process.stderr is not None
+            log = (await process.stderr.read()).decode()
+            assert "discovery: invalid line in a watch" in log
+            assert "Traceback" not in log
+
+    run(main())
