Test the budget of a warming endpoint under 1, 2, 12 and 30 nodes and processes

The terms bind however few or many processes run; 30 were tested, with requests that may be repeated and that no server failed.

--- a/tests/decisions/test_slow_start.py
+++ b/tests/decisions/test_slow_start.py
@@ -1,4 +1,4 @@
-"""Rule 4 with thirty nodes, each of which sees only its own requests to an endpoint that warms up."""
+"""Rule 4 with up to thirty nodes, each of which sees only its own requests to an endpoint that warms up."""
 
 from __future__ import annotations
 
@@ -32,8 +32,11 @@
     settings,
 )
 
-NODES = 30
+NODE_COUNTS = (1, 2, 12, 30)
 SEEDS = 2
+# Failures lead to retries, slow answers to hedged requests: all of them count.
+FAILED_SHARE = 0.05
+REQUEST_CLASSES = ("look", "move", "book")
 WARM_UP_MS = 8000.0
 START_MS, END_MS = 3000.0, 11_000.0
 
@@ -60,9 +63,9 @@
     overload_factor: float = 4.0
     overload_window_ms: float = 3000.0
 
-    def weights(self) -> list[float]:
+    def weights(self, nodes: int) -> list[float]:
         """Return the part of all requests that each node gets."""
-        raw = [(1 + i) ** -self.skew for i in range(NODES)]
+        raw = [(1 + i) ** -self.skew for i in range(nodes)]
         return [weight / sum(raw) for weight in raw]
 
     def per_ms(self) -> float:
@@ -106,18 +109,18 @@
 }
 
 
-def _excess_work(scenario: Scenario, seed: int) -> float:
+def _excess_work(scenario: Scenario, nodes: int, seed: int) -> float:
     names = [b"s%d" % i for i in range(scenario.warm + scenario.warming)]
     servers = {name: SimServer(scenario.slots, scenario.mean_ms, scenario.max_queued) for name in names}
     node_settings = Settings(
         classes=(RequestClass("look", 1000.0, 2000.0),),
-        node_count=NODES,
+        node_count=nodes,
         warm_up_ms=WARM_UP_MS,
         slow_start_fraction=scenario.slow_start_fraction,
         overload_factor=scenario.overload_factor,
         overload_window_ms=scenario.overload_window_ms,
     )
-    fleet = Fleet([replace(node_settings, node_index=i) for i in range(NODES)], servers, seed)
+    fleet = Fleet([replace(node_settings, node_index=i) for i in range(nodes)], servers, seed)
     fleet.feed_list(*[EndpointEntry(name) for name in names[: scenario.warm]])
     rng = random.Random(seed)
 
@@ -139,17 +142,18 @@
             servers[name].restart(fleet.now, WARM_UP_MS, scenario.slow_start_fraction)
         fleet.feed_list(*[EndpointEntry(name, started_ms=fleet.now) for name in names[scenario.warm :]])
 
-    for node, weight in enumerate(scenario.weights()):
+    for node, weight in enumerate(scenario.weights(nodes)):
         start_client(node, scenario.per_ms() * weight)
     fleet.at(START_MS, start_warming_endpoints)
     fleet.run(END_MS if scenario is not TIGHT_BUDGET else START_MS + 3000.0)
     return max(scenario.excess_work(servers[name]) for name in names[scenario.warm :])
 
 
+@pytest.mark.parametrize("nodes", NODE_COUNTS)
 @pytest.mark.parametrize("name", SCENARIOS)
-def test_thirty_nodes_together_keep_the_budget_of_a_warming_endpoint(name: str) -> None:
+def test_all_nodes_together_keep_the_budget_of_a_warming_endpoint(name: str, nodes: int) -> None:
     """The work is counted at the endpoint in every window, against the budget and the margin."""
-    excess = [round(_excess_work(SCENARIOS[name], seed), 1) for seed in range(SEEDS)]
+    excess = [round(_excess_work(SCENARIOS[name], nodes, seed), 1) for seed in range(SEEDS)]
     assert max(excess) < 0.0, excess
 
 
@@ -174,14 +178,15 @@
         async with self.slots_free:
             await asyncio.sleep(self.mean_ms * self.rng.uniform(0.5, 1.5) / self.speed(now) / 1000.0)
         self.busy -= 1
-        await reply("200 OK")(server, received, writer)
+        status = "500 Failed" if self.rng.random() < FAILED_SHARE else "200 OK"
+        await reply(status)(server, received, writer)
 
 
 @contextlib.asynccontextmanager
 async def _nodes(
-    known: list[StubServer], tmp_path: Path
+    known: list[StubServer], count: int, tmp_path: Path
 ) -> AsyncIterator[tuple[list[tuple[str, int]], StubDiscovery]]:
-    """Start thirty processes that know these servers; yield their addresses and their discovery."""
+    """Start processes that know these servers; yield their addresses and their discovery."""
     limits = settings()
     guarantees = {
         **limits["guarantees"],
@@ -193,9 +198,9 @@
     }
     entries = [row(f"s{i}", server.address) for i, server in enumerate(known)]
     async with StubDiscovery() as discovery:
-        started, paths = [], [tmp_path / f"{i}.log" for i in range(NODES)]
-        for i in range(NODES):
-            node_settings = settings(registryMode="pushed", balancers=NODES, ordinal=i, guarantees=guarantees)
+        started, paths = [], [tmp_path / f"{i}.log" for i in range(count)]
+        for i in range(count):
+            node_settings = settings(registryMode="pushed", balancers=count, ordinal=i, guarantees=guarantees)
             config_values = {
                 "seed": str(i),
                 "limits": {"memory_mb": 96, "sockets": 256},
@@ -234,8 +239,10 @@
 
     async def send_request() -> None:
         client = idle.pop() if idle else await Client.connect(address)
-        assert (await client.ask("look", deadline="1.0")).status in (200, 503)
-        idle.append(client)
+        answer = await client.ask(rng.choice(REQUEST_CLASSES), deadline="1.0")
+        assert answer.status in (200, 502, 503)
+        if answer.headers.get("connection") != "close":
+            idle.append(client)
 
     async with asyncio.TaskGroup() as tasks:
         while True:
@@ -243,7 +250,8 @@
             tasks.create_task(send_request())
 
 
-def test_thirty_processes_together_keep_the_budget_of_a_warming_endpoint(tmp_path: Path) -> None:
+@pytest.mark.parametrize("nodes", NODE_COUNTS)
+def test_all_processes_together_keep_the_budget_of_a_warming_endpoint(nodes: int, tmp_path: Path) -> None:
     async def main() -> None:
         async with contextlib.AsyncExitStack() as stack:
             machines = [
@@ -255,13 +263,15 @@
                 machine.slots_free = asyncio.Semaphore(machine.slots)
                 servers.append(await stack.enter_async_context(StubServer([machine.behave])))
             known = servers[: TIGHT_BUDGET.warm]
-            addresses, discovery = await stack.enter_async_context(_nodes(known, tmp_path))
+            addresses, discovery = await stack.enter_async_context(_nodes(known, nodes, tmp_path))
             burst = asyncio.Event()
             load = [
                 asyncio.create_task(
                     _send_requests(address, 1000.0 * TIGHT_BUDGET.per_ms() * weight, random.Random(i), burst)
                 )
-                for i, (address, weight) in enumerate(zip(addresses, TIGHT_BUDGET.weights(), strict=True))
+                for i, (address, weight) in enumerate(
+                    zip(addresses, TIGHT_BUDGET.weights(nodes), strict=True)
+                )
             ]
             watches = [await discovery.watch() for _ in addresses]
             for watch in watches:
