Put a network or host without a route down to no endpoint

Seen: endpoints ejected (both test cases failed before). A machine that has vanished still counts: its connections do not come up in time.

--- a/crowpost/node/upstream/dial_failure.py
+++ b/crowpost/node/upstream/dial_failure.py
@@ -7,9 +7,20 @@
 
 from crowpost.decision_api import Outcome
 
-# Errors of this machine, which has no address, descriptor or memory left: they say nothing about an endpoint.
+# Errors of this machine, which has no address, descriptor, memory or route: they say nothing about an endpoint.
+# A machine that has vanished shows as a connection that does not come up.
 LOCAL_ERRORS = frozenset(
-    {errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN}
+    {
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EHOSTUNREACH,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
 )
 
 
--- a/tests/faults/test_connect.py
+++ b/tests/faults/test_connect.py
@@ -24,6 +24,8 @@
     [
         CallFault("connect", errno.EADDRNOTAVAIL),
         CallFault("connect", errno.ENOBUFS),
+        CallFault("connect", errno.ENETUNREACH),
+        CallFault("connect", errno.EHOSTUNREACH),
         CallFault("socket", errno.ENOBUFS),
         CallFault("socket", errno.ENFILE),
     ],
