Fail an attempt at once whose endpoint has no host name

A list may hold a host that is none (64 characters without a dot): the name's encoding raised UnicodeError in the task of the dial, which nobody takes, so the attempt waited for its time-out. The test failed before (TimeoutError).

--- a/crowpost/node/upstream/pool.py
+++ b/crowpost/node/upstream/pool.py
@@ -183,6 +183,10 @@
         except OSError as error:  # TimeoutError is one of them
             on_dialled(DialFailure.of(error))
             return
+        except UnicodeError:
+            # A host in the list that is no host name.
+            on_dialled(DialFailure.ENDPOINT)
+            return
         on_dialled(connection)
 
     def dispatch(self, call: Call, connection: UpstreamConnection) -> None:
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -39,6 +39,8 @@
 REQUEST = b"GET /api/x HTTP/1.1\r\nHost: h\r\n\r\n"
 PROBE = b"GET /health HTTP/1.1\r\nHost: h\r\n\r\n"
 NOT_RUN = "X-Not-Run: 1\r\n"
+# The longest time in which a dial that cannot succeed has failed.
+MAX_DIAL_S = 1.0
 
 
 class Calls:
@@ -167,6 +169,17 @@
     run(main())
 
 
+def test_a_host_that_is_no_host_name_is_connect_failed_at_once() -> None:
+    """Guards against a request that waits for its time-out because the task of its dial has failed."""
+
+    async def main() -> None:
+        async with calls_to(f"{'x' * 64}:1") as calls:
+            outcome = await asyncio.wait_for(calls.outcome(), MAX_DIAL_S)
+            assert outcome == (Outcome.CONNECT_FAILED, b"")
+
+    run(main())
+
+
 def test_unlisted_endpoint_is_connect_failed() -> None:
     async def main() -> None:
         async with calls_to(f"{HOST}:1") as calls:
