Read the frames of the feed one at a time, and end a stream of invalid ones

Seen: a publisher that sends zeros took 44.1 MB of 32 at a node with a feed: a read of 256 kB is 64,000 empty frames, each an error in one list, and 0.2 s without another peer. Change: FrameReader.feed is a generator; more than 64 invalid frames of one connection are fatal.

--- a/crowpost/config_feed/frames.py
+++ b/crowpost/config_feed/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator
 
 import google_crc32c
 import msgpack
@@ -21,6 +22,8 @@
 MAX_FRAME_BYTES = MAX_BODY_BYTES
 PACKET_OVERHEAD_BYTES = 40  # TCP and IP headers of a frame, which count towards the byte budgets
 MAX_HEADERS_PER_FRAME = 64
+# A peer that has sent more invalid frames than these speaks another protocol.
+MAX_INVALID_FRAMES = 64
 
 
 def cluster_tag(cluster: str) -> int:
@@ -81,36 +84,45 @@
         self._max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
         self._broken = False
+        self._invalid_frames = 0
 
-    def feed(self, data: bytes) -> list[tuple[Message | FrameError, int]]:
-        """Return the messages that are now complete, each with the size of its frame in bytes.
+    def feed(self, data: bytes) -> Iterator[tuple[Message | FrameError, int]]:
+        """Yield the messages that are now complete, each with the size of its frame in bytes.
 
-        An invalid frame is returned as a FrameError; after a `fatal` one no further data is read.
+        An invalid frame is yielded as a FrameError; after a `fatal` one no further data is read.  One message
+        exists at a time: a peer may send thousands in one read.
         """
-        found: list[tuple[Message | FrameError, int]] = []
         if self._broken:
-            return found
+            return
         self._buffer += data
         offset = 0
-        while len(self._buffer) - offset >= FRAME_LENGTH.size:
-            (length,) = FRAME_LENGTH.unpack_from(self._buffer, offset)
-            if length > self._max_frame_bytes:
-                text = f"a frame of {length} bytes, {self._max_frame_bytes} at most"
-                found.append((FrameError("oversized", text), FRAME_LENGTH.size))
-                self._broken = True
-                break
-            start = offset + FRAME_LENGTH.size
-            end = start + length
-            if len(self._buffer) < end:
-                break
-            item = self._decode(bytes(self._buffer[start:end]))
-            found.append((item, end - offset))
-            offset = end
-            if isinstance(item, FrameError) and item.fatal:
-                self._broken = True
-                break
-        del self._buffer[:offset]
-        return found
+        try:
+            while not self._broken and len(self._buffer) - offset >= FRAME_LENGTH.size:
+                (length,) = FRAME_LENGTH.unpack_from(self._buffer, offset)
+                start = offset + FRAME_LENGTH.size
+                end = start + length
+                if length > self._max_frame_bytes:
+                    text = f"a frame of {length} bytes, {self._max_frame_bytes} at most"
+                    self._broken = True
+                    yield FrameError("oversized", text), FRAME_LENGTH.size
+                elif len(self._buffer) < end:
+                    break
+                else:
+                    item = self._decode(bytes(self._buffer[start:end]))
+                    offset = end
+                    if isinstance(item, FrameError):
+                        item = self._count_invalid(item)
+                        self._broken = item.fatal
+                    yield item, FRAME_LENGTH.size + length
+        finally:
+            del self._buffer[:offset]
+
+    def _count_invalid(self, error: FrameError) -> FrameError:
+        """Return the error, or a fatal one once there have been too many: each costs time."""
+        self._invalid_frames += 1
+        if self._invalid_frames <= MAX_INVALID_FRAMES:
+            return error
+        return FrameError("magic", f"{self._invalid_frames} invalid frames, the last one: {error}")
 
     def _decode(self, frame: bytes) -> Message | FrameError:
         try:
--- a/crowpost/node/upstream/dial_failure.py
+++ b/crowpost/node/upstream/dial_failure.py
@@ -7,7 +7,7 @@
 
 from crowpost.decision_api import Outcome
 
-# Errors of this machine, which has no address, descriptor, memory or route: they say nothing about an endpoint.
+# Errors of this machine, which has no address, descriptor, memory or route: they say nothing of an endpoint.
 # A machine that has vanished shows as a connection that does not come up.
 LOCAL_ERRORS = frozenset(
     {
--- a/tests/config_feed/test_frames.py
+++ b/tests/config_feed/test_frames.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 
 from crowpost.config_feed.apply_status import ApplyState, ApplyStatus
 from crowpost.config_feed.errors import FrameError
-from crowpost.config_feed.frames import FRAME_LENGTH, FrameReader, cluster_tag, decode, encode
+from crowpost.config_feed.frames import (
+    FRAME_LENGTH,
+    MAX_INVALID_FRAMES,
+    FrameReader,
+    cluster_tag,
+    decode,
+    encode,
+)
 from crowpost.config_feed.message_codec import MessageKind
 from crowpost.config_feed.messages import (
     ApplyReport,
@@ -79,3 +88,27 @@
         assert isinstance(found[0], FrameError) and found[0].kind == kind
         # Reading continues after a damaged frame, but not after a fatal error.
         assert found[1:] == ([Heartbeat(1)] if not found[0].fatal else [])
+
+
+def test_a_read_full_of_invalid_frames_ends_the_stream() -> None:
+    """Guards against thousands of errors for one read, which hold up a process and fill its memory."""
+    reader = FrameReader(CLUSTER_TAG)
+    found = [item for item, _ in reader.feed(bytes(256 * 1024))]
+    assert len(found) == MAX_INVALID_FRAMES + 1
+    assert isinstance(found[-1], FrameError) and found[-1].fatal
+    assert list(reader.feed(encode(Heartbeat(1), CLUSTER_TAG))) == []
+
+
+def test_messages_of_one_read_are_decoded_one_at_a_time() -> None:
+    """Guards against a peer whose small messages take hundreds of times their size."""
+    frame = encode(Heartbeat(1), CLUSTER_TAG)
+    reader = FrameReader(CLUSTER_TAG)
+    text = frame * 10_000
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        assert sum(1 for _ in reader.feed(text)) == 10_000
+        peak = tracemalloc.get_traced_memory()[1] - before
+    finally:
+        tracemalloc.stop()
+    assert peak < 2 * len(text)
