Bound the connections and the large frames that a member takes

Seen: a member kept each inbound connection until its turn, 300 descriptors of 256 with idle peers; 16 peers at a time could announce frames of 4 MB, 64 MB in all (32.6 MB of 32 when the test stopped). Change: 24 inbound connections, more are closed at once, as a later sync brings the same; one frame of more than 128 kB is read at a time. The two tests of test_peer_flood failed before, and the tests of membership pass.

--- a/crowpost/membership/transport.py
+++ b/crowpost/membership/transport.py
@@ -26,6 +26,8 @@
 log = logging.getLogger(__name__)
 
 MAX_INBOUND_CONNECTIONS = 16  # Handled concurrently; further connections wait for a slot
+MAX_WAITING_CONNECTIONS = 8  # More are closed at once: each holds a descriptor and received bytes
+MAX_LARGE_FRAMES = 1  # Read concurrently, as each takes megabytes
 MAX_OUTBOUND_SYNCS = 4  # Concurrent ones; more are dropped, since a later sync brings the same updates
 LEAVE_DELAY_S = 0.3  # Time for a leave message to be passed on
 MAX_BIND_ATTEMPTS = 20  # Attempts to find a port that is free on both UDP and TCP
@@ -53,6 +55,8 @@
         self._timer_due_ms = float("inf")
         self._syncs: set[asyncio.Task[None]] = set()
         self._inbound_slots = asyncio.Semaphore(MAX_INBOUND_CONNECTIONS)
+        self._inbound_count = 0  # Connections that are handled or wait
+        self._large_frame_slots = asyncio.Semaphore(MAX_LARGE_FRAMES)
         self._core: MembershipCore | None = None
         self.leave_requested = asyncio.Event()  # Set by a leave request of an operator
 
@@ -198,18 +202,29 @@
             writer.close()
 
     async def _handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer a connection of another process, unless there are too many."""
+        if self._inbound_count >= MAX_INBOUND_CONNECTIONS + MAX_WAITING_CONNECTIONS:
+            self.core.counts[counters.SYNCS_REJECTED] += 1
+            writer.transport.abort()
+            return
+        self._inbound_count += 1
+        try:
+            async with self._inbound_slots:
+                await self._answer_or_drop(reader, writer)
+        finally:
+            self._inbound_count -= 1
+            writer.close()
+
+    async def _answer_or_drop(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer a connection of another process; an error ends only this connection."""
-        async with self._inbound_slots:
-            try:
-                await self._answer(reader, writer)
-            except (OSError, EOFError, TimeoutError):
-                pass
-            except MembershipError:
-                self.core.counts[counters.FRAMES_DROPPED] += 1
-            except Exception:  # No input on one connection may end the process
-                log.exception("unexpected error on a membership connection")
-            finally:
-                writer.close()
+        try:
+            await self._answer(reader, writer)
+        except (OSError, EOFError, TimeoutError):
+            pass
+        except MembershipError:
+            self.core.counts[counters.FRAMES_DROPPED] += 1
+        except Exception:  # No input on one connection may end the process
+            log.exception("unexpected error on a membership connection")
 
     async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         frame = await self._read(reader)
@@ -250,7 +265,7 @@
         write_frame(writer, frame)
 
     async def _read(self, reader: asyncio.StreamReader) -> bytes:
-        frame = await read_frame(reader)
+        frame = await read_frame(reader, self._large_frame_slots)
         self.core.counts[counters.BYTES_IN] += stream_bytes(frame)
         return frame
 
