Write the table of sent requests to its files instead of mapping them

Seen in a trial on real processes with NODE_ACCEPT_FD: a file of $TMPDIR that was cut ended the node by SIGBUS (exit -7) at the next request that must not run twice, unanswered, and the ids were forgotten; a file with other content made each such request a 500 (IndexError). Cause: a mapping of a file is only as safe as the file. Change: the table is in memory; changes are written to the file, and the other process reads the places it needs. A file that was cut is written anew at the next request. The three tests of cut and foreign files fail without this. Split out: identity_table.py.

--- a/tests/node/test_sent_requests.py
+++ b/tests/node/test_sent_requests.py
@@ -3,28 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import os
 import signal
 import socket
 from pathlib import Path
 
 import pytest
 
-from crowpost.node import sent_requests
+from crowpost.node import identity_table
+from crowpost.node.identity_table import IdentityTable, table_bytes
 from crowpost.node.sent_requests import (
     MAX_PROCESSES,
     MAX_SLOTS,
     MEMORY_FRACTION,
     MIN_SLOTS,
     AddResult,
-    IdentityTable,
     SentRequests,
     identity_of,
     open_sent_requests,
     slots_for,
-    table_bytes,
 )
-from tests.node.processes import logged_address, node_configuration, node_environment, start_node
+from tests.node.processes import (
+    logged_address,
+    node_configuration,
+    node_environment,
+    running_process,
+    start_node,
+)
 from tests.node.stubs import (
     HOST,
     WAIT_TIMEOUT_S,
@@ -111,7 +118,7 @@
 
 
 def test_a_full_table_refuses_and_forgets_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(sent_requests, "MAX_USED_FRACTION", 100 / SLOTS)
+    monkeypatch.setattr(identity_table, "MAX_USED_FRACTION", 100 / SLOTS)
     table = open_sent_requests(LIFETIME_MS, None, "n0", SLOTS)
     identities = [identity_of(b"%d" % number) for number in range(101)]
     assert {table.try_add((each,), 5000.0) for each in identities[:100]} == {AddResult.ADDED}
@@ -159,6 +166,17 @@
     assert table.contains(1, 0.0)
 
 
+@pytest.mark.parametrize("content", [b"", bytes(1000), b"\xff" * table_bytes(SLOTS)])
+def test_files_without_a_table_are_begun_anew(content: bytes, tmp_path: Path) -> None:
+    """Guards against a process that cannot serve because of what its files hold."""
+    shared(tmp_path)
+    for file in tmp_path.iterdir():
+        file.write_bytes(content)
+    one, two = shared(tmp_path), shared(tmp_path)
+    assert one.try_add((identity_of(b"1"),), 0.0) is AddResult.ADDED
+    assert two.try_add((identity_of(b"1"),), 0.0) is AddResult.KNOWN
+
+
 # ---------------------------------------------------------------- one node
 
 
@@ -221,7 +239,7 @@
 
 
 def test_requests_beyond_the_bound_of_the_table_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(sent_requests, "MAX_USED_FRACTION", 3 / MAX_SLOTS)
+    monkeypatch.setattr(identity_table, "MAX_USED_FRACTION", 3 / MAX_SLOTS)
 
     async def main() -> None:
         async with StubServer([OK]) as server, running_node(row("a", server.address)) as running:
@@ -236,6 +254,51 @@
 # ---------------------------------------------------------------- two processes
 
 
+@pytest.mark.parametrize("size", [0, 5000])
+def test_a_node_whose_shared_files_are_cut_serves_and_its_successor_knows_what_was_sent(
+    size: int, tmp_path: Path
+) -> None:
+    """Guards against a process that is ended by SIGBUS, and against a second run after an upgrade."""
+    shared_directory = tmp_path / "shared"
+    shared_directory.mkdir()
+    ids = [f"{number:016x}" for number in range(3)]
+
+    async def main() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            server = await stack.enter_async_context(StubServer([OK]))
+            discovery = await stack.enter_async_context(StubDiscovery())
+            listening = stack.enter_context(socket.create_server((HOST, 0)))
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps(node_configuration(server)))
+            environment = {
+                **node_environment(discovery, config),
+                "NODE_ACCEPT_FD": str(listening.fileno()),
+                "TMPDIR": str(shared_directory),
+            }
+            first = await start_node(environment, (listening.fileno(),))
+            await stack.enter_async_context(running_process(first))
+            address = await logged_address(first, "listens")
+            assert (await (await Client.connect(address)).ask("book", request_id=ids[0])).status == 200
+            for file in shared_directory.iterdir():
+                os.truncate(file, size)
+            for request_id in ids[1:]:
+                assert (
+                    await (await Client.connect(address)).ask("book", request_id=request_id)
+                ).status == 200
+            second = await start_node(environment, (listening.fileno(),))
+            await stack.enter_async_context(running_process(second))
+            await logged_address(second, "listens")
+            first.terminate()
+            await first.wait()
+            for request_id in ids:
+                assert (
+                    await (await Client.connect(address)).ask("book", request_id=request_id)
+                ).status == 409
+            assert len(server.received) == len(ids)
+
+    run(main())
+
+
 @pytest.mark.parametrize("leaves", [False, True])
 def test_an_id_that_comes_again_at_the_other_process_of_an_upgrade_runs_once(
     leaves: bool, tmp_path: Path
