Keep a quiet watch of a pushed list, and replace a broken one at once

Cause: where lists are pushed, the first line of a watch had 40% of mustAskInMs (80 ms here), a setting that is for polled lists alone; an agent without news is silent for 2 s. So the node opened watch after watch, with pauses of up to 1 s in which it knew nothing. Change: such a watch has the 2.5 s of any other first line; one that has worked for a second is replaced without a pause.

--- a/crowpost/node/discovery/client.py
+++ b/crowpost/node/discovery/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 
@@ -34,7 +35,8 @@
     If lists are pushed, the watch is on the machine's own agent: it costs nothing, is kept open without
     `subscribe`, and its failures are not reported, as they say nothing about the list.
 
-    call_timeout_s: the timeout for the first line of a watch; reads: schedules the reads of all connections.
+    call_timeout_s: the timeout for the first line of a watch, unless lists are pushed; reads: schedules the
+    reads of all connections.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         # Failures since a watch last sent a complete list or an empty line.
         self._failures = 0
         self._version = 0
+        self._opened_at = 0.0
         # Whether a line of the present read was a complete list, or empty.
         self._progressed = False
         self._watch: Watch | None = None
@@ -109,7 +112,10 @@
             self._naming.shorten,
         )
         self._watch = watch
-        self._set_timeout(min(self._call_timeout_s, FIRST_LINE_TIMEOUT_S))
+        self._opened_at = self._loop.time()
+        # A pushed list has no interval of calls that a timeout could be a part of.
+        call_timeout_s = math.inf if self._pushed else self._call_timeout_s
+        self._set_timeout(min(call_timeout_s, FIRST_LINE_TIMEOUT_S))
         try:
             await self._loop.create_connection(lambda: watch, host, port)
         except OSError:
@@ -172,7 +178,15 @@
         if not self._pushed:
             self._on_failed()
             return
+        self._timer = self._loop.call_later(self._backoff_s(), self.subscribe)
+
+    def _backoff_s(self) -> float:
+        """Return how long to wait before the local agent is watched again after a failure.
+
+        A watch that has worked for a while is replaced at once: what the agent has meanwhile counts as told.
+        """
+        if not self._failures and self._loop.time() - self._opened_at >= MAX_BACKOFF_S:
+            return 0.0
         backoff_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2.0 ** min(self._failures, 10))
         self._failures += 1
-        jitter = 0.5 + 0.5 * self._random.random()
-        self._timer = self._loop.call_later(backoff_s * jitter, self.subscribe)
+        return backoff_s * (0.5 + 0.5 * self._random.random())
