Start once sockets can be opened

A moment without descriptors or memory was reported as a bad configuration, exit 2. Now listening for clients, operators and members is tried again every 0.1 s for 20 s.

--- a/crowpost/node/downstream/acceptor.py
+++ b/crowpost/node/downstream/acceptor.py
@@ -11,7 +11,8 @@
 import logging
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 log = logging.getLogger(__name__)
 
@@ -20,9 +21,14 @@
 # The pause after a failure for which nothing but time or a closed connection helps.
 RETRY_S = 0.01
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# The pause before listening is tried again, and how long it is tried.  The platform waits 30 s for a start.
+LISTEN_RETRY_S = 0.1
+LISTEN_TIMEOUT_S = 20.0
 # The least time between two lines of the log about failures.
 LOG_INTERVAL_S = 1.0
 
+Bound = TypeVar("Bound")
+
 
 def listening_socket(address: tuple[str, int], backlog: int) -> socket.socket:
     """Return a socket that listens on this address; raise OSError if that is not possible."""
@@ -38,6 +44,22 @@
     return listening
 
 
+async def listen_when_possible(listen: Callable[[], Awaitable[Bound]]) -> Bound:
+    """Return what `listen` returns; try again while this machine lacks descriptors or memory for a moment.
+
+    Raise the OSError of any other failure at once, and of the last one after LISTEN_TIMEOUT_S.
+    """
+    until = time.monotonic() + LISTEN_TIMEOUT_S
+    while True:
+        try:
+            return await listen()
+        except OSError as error:
+            if error.errno not in EXHAUSTED or time.monotonic() >= until:
+                raise
+            log.warning("listening failed and is tried again: %s", error)
+        await asyncio.sleep(LISTEN_RETRY_S)
+
+
 class Acceptor:
     """Accepts the connections of one listening socket, which it closes in the end.
 
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -24,6 +24,7 @@
 from crowpost.node.discovery.client import DiscoveryClient
 from crowpost.node.discovery.endpoint_list import ListError, Listing
 from crowpost.node.dispatcher import Dispatcher, HealthChecker
+from crowpost.node.downstream.acceptor import listen_when_possible
 from crowpost.node.downstream.listener import Listener
 from crowpost.node.downstream.sockets import adopt_listening_socket
 from crowpost.node.drain import Drain, Phase
@@ -198,14 +199,14 @@
         self._reload_if_replaced()
         if self._config.management is not None:
             try:
-                self.admin_address = self._admin.listen(self._config.management)
+                self.admin_address = await listen_when_possible(self._listen_for_operators)
             except OSError as error:
                 raise ConfigError(f"NODE_MANAGEMENT cannot be used: {error}") from error
             log.info("node %s is managed on %s:%d", self._config.name, *self.admin_address)
         await self._start_membership()
         if self._config.accept_fd is None:
             try:
-                self._accept(self._config.listen)
+                await listen_when_possible(self._listen_for_clients)
             except OSError as error:
                 raise ConfigError(f"NODE_LISTEN cannot be used: {error}") from error
         elif self._inherited_socket is not None:
@@ -214,6 +215,13 @@
             self._loop.call_later(FIRST_LIST_TIMEOUT_S, self._on_initial_list_done)
         return self._address
 
+    async def _listen_for_operators(self) -> tuple[str, int]:
+        assert self._config.management is not None
+        return self._admin.listen(self._config.management)
+
+    async def _listen_for_clients(self) -> None:
+        self._accept(self._config.listen)
+
     def _open_state(self, known: Listing | None) -> Listing | None:
         """Open the state directory, if one is configured.
 
@@ -260,10 +268,10 @@
         self._membership = Membership(
             self._config.members, self._config.settings, phase, self._events.post, on_incarnation
         )
+        membership = self._membership
+        incarnation = state_writer.state.incarnation + 1 if state_writer is not None else 1
         try:
-            await self._membership.start(
-                state_writer.state.incarnation + 1 if state_writer is not None else 1
-            )
+            await listen_when_possible(lambda: membership.start(incarnation))
         except OSError as error:
             raise ConfigError(f"NODE_MEMBERS: members.listen cannot be used: {error}") from error
 
