--- a/tests/faults/system_call_shim.c
+++ b/tests/faults/system_call_shim.c
@@ -2,8 +2,9 @@
 
    Loaded with LD_PRELOAD.  FAULT_SHIM_RULES holds the rules, "call:errno:per_mille" joined by commas, and
    FAULT_SHIM_CONTROL a file of one `struct control` for each rule, which both processes map.  FAULT_SHIM_SEED
-   seeds the draws.  An errno of 0 makes reads and writes short (1 to 7 bytes).  For the call "wall_clock" the
-   control's `value` is added to the wall clock, in milliseconds. */
+   seeds the draws.  An errno of 0 makes reads and writes short (1 to 7 bytes).  The calls "read" and "write"
+   are those of all sockets, "read_out" and "write_out" those of sockets that this process has connected.  For
+   the call "wall_clock" the control's `value` is added to the wall clock, in milliseconds. */
 
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -26,6 +27,7 @@
 
 #define MAX_RULES 32
 #define MAX_SHORT_BYTES 7
+#define MAX_DESCRIPTORS 65536
 
 struct control {
     int64_t enabled;
@@ -40,6 +42,8 @@
     int per_mille;
 };
 
+/* Which sockets this process has connected. */
+static char connected[MAX_DESCRIPTORS];
 static struct rule rules[MAX_RULES];
 static struct control *controls;
 static int rule_count;
@@ -107,9 +111,10 @@
 }
 
 /* Return the bytes that a transfer of a socket may move: `size`, fewer, or -1 with errno set. */
-static ssize_t limit_transfer(const char *call, int descriptor, size_t size) {
+static ssize_t limit_transfer(const char *call, const char *call_out, int descriptor, size_t size) {
     if (!rule_count || !size || !has_type(descriptor, S_IFSOCK)) return (ssize_t)size;
     struct rule *rule = strike(call);
+    if (!rule && descriptor < MAX_DESCRIPTORS && connected[descriptor]) rule = strike(call_out);
     if (!rule) return (ssize_t)size;
     if (rule->error) {
         errno = rule->error;
@@ -123,48 +128,58 @@
     return rule_count && has_type(descriptor, S_IFREG) && fails(call);
 }
 
+static int note_accepted(int descriptor) {
+    if (descriptor >= 0 && descriptor < MAX_DESCRIPTORS) connected[descriptor] = 0;
+    return descriptor;
+}
+
 int accept4(int socket, struct sockaddr *address, socklen_t *length, int flags) {
     REAL(accept4);
-    return fails("accept") ? -1 : real(socket, address, length, flags);
+    return fails("accept") ? -1 : note_accepted(real(socket, address, length, flags));
 }
 
 int accept(int socket, struct sockaddr *address, socklen_t *length) {
     REAL(accept);
-    return fails("accept") ? -1 : real(socket, address, length);
+    return fails("accept") ? -1 : note_accepted(real(socket, address, length));
 }
 
 int socket(int domain, int type, int protocol) {
     REAL(socket);
-    return fails("socket") ? -1 : real(domain, type, protocol);
+    if (fails("socket")) return -1;
+    int descriptor = real(domain, type, protocol);
+    if (descriptor >= 0 && descriptor < MAX_DESCRIPTORS) connected[descriptor] = 0;
+    return descriptor;
 }
 
 int connect(int socket, const struct sockaddr *address, socklen_t length) {
     REAL(connect);
-    return fails("connect") ? -1 : real(socket, address, length);
+    if (fails("connect")) return -1;
+    if (socket >= 0 && socket < MAX_DESCRIPTORS) connected[socket] = 1;
+    return real(socket, address, length);
 }
 
 ssize_t read(int descriptor, void *buffer, size_t size) {
     REAL(read);
-    ssize_t limit = limit_transfer("read", descriptor, size);
+    ssize_t limit = limit_transfer("read", "read_out", descriptor, size);
     return limit < 0 ? -1 : real(descriptor, buffer, (size_t)limit);
 }
 
 ssize_t recv(int descriptor, void *buffer, size_t size, int flags) {
     REAL(recv);
-    ssize_t limit = limit_transfer("read", descriptor, size);
+    ssize_t limit = limit_transfer("read", "read_out", descriptor, size);
     return limit < 0 ? -1 : real(descriptor, buffer, (size_t)limit, flags);
 }
 
 ssize_t write(int descriptor, const void *buffer, size_t size) {
     REAL(write);
     if (file_fails("file_write", descriptor)) return -1;
-    ssize_t limit = limit_transfer("write", descriptor, size);
+    ssize_t limit = limit_transfer("write", "write_out", descriptor, size);
     return limit < 0 ? -1 : real(descriptor, buffer, (size_t)limit);
 }
 
 ssize_t send(int descriptor, const void *buffer, size_t size, int flags) {
     REAL(send);
-    ssize_t limit = limit_transfer("write", descriptor, size);
+    ssize_t limit = limit_transfer("write", "write_out", descriptor, size);
     return limit < 0 ? -1 : real(descriptor, buffer, (size_t)limit, flags);
 }
 
@@ -178,7 +193,7 @@
     REAL(writev);
     if (file_fails("file_write", descriptor)) return -1;
     size_t total = total_bytes(parts, count);
-    ssize_t limit = limit_transfer("write", descriptor, total);
+    ssize_t limit = limit_transfer("write", "write_out", descriptor, total);
     if (limit < 0) return -1;
     if ((size_t)limit == total) return real(descriptor, parts, count);
     struct iovec first = parts[0];
@@ -190,7 +205,7 @@
 ssize_t sendmsg(int descriptor, const struct msghdr *message, int flags) {
     REAL(sendmsg);
     size_t total = total_bytes(message->msg_iov, (int)message->msg_iovlen);
-    ssize_t limit = limit_transfer("write", descriptor, total);
+    ssize_t limit = limit_transfer("write", "write_out", descriptor, total);
     if (limit < 0) return -1;
     if ((size_t)limit == total) return real(descriptor, message, flags);
     struct iovec first = message->msg_iov[0];
--- a/tests/faults/system_calls.py
+++ b/tests/faults/system_calls.py
@@ -32,8 +32,9 @@
 class CallFault:
     """One kind of failure: in this share of these calls, the call fails with this error.
 
-    call: accept, socket, connect, read, write, wait, file_write, fsync, truncate, rename, fallocate or
-    wall_clock; error: an errno, or SHORT.
+    call: accept, socket, connect, read, write, read_out, write_out, wait, file_write, fsync, truncate,
+    rename, fallocate or wall_clock; `_out` are calls on connections that the process has opened.  error: an
+    errno, or SHORT.
     """
 
     call: str
--- a/tests/faults/test_fault_soak.py
+++ b/tests/faults/test_fault_soak.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from tests.faults.harness import FaultyNode, faulty_node
+from tests.faults.harness import KILL_AFTER_S, MOST_DEADLINE_S, FaultyNode, faulty_node
 from tests.faults.system_calls import SHORT, CallFault
 from tests.faults.traffic import ServerPlan
 from tests.node.stubs import Client, listing, request, row, run, send_line
@@ -27,14 +27,13 @@
 SEEDS = range(int(FIRST_SEED), int(LAST_SEED or FIRST_SEED) + 1)
 
 FAULTS_S = 4.0
+UPGRADE_AFTER_S = 1.0
+MEMORY_INTERVAL_S = 0.05
 STEP_S = 0.25
 HOLD_S = 0.15
 WALL_CLOCK_STEPS_MS = (-3_600_000, -5_000, 5_000, 3_600_000)
 # Clients open new connections for this long after SIGTERM (PROTOCOL, "Figures").
 NEW_CONNECTIONS_S = 0.3
-# SIGKILL follows SIGTERM this long after the longest deadline, which counts as 3 s at most.
-KILL_AFTER_S = 0.7
-MOST_DEADLINE_S = 3.0
 CROWD = 100
 BAD_INPUT = (
     request("look", drop=("X-Tenant",)),
@@ -58,6 +57,12 @@
     CallFault("read", errno.EINTR, 0.1),
     CallFault("wait", errno.EINTR, 0.3),
     CallFault("wall_clock"),
+    CallFault("read_out", errno.ETIMEDOUT, 0.02),
+    CallFault("read_out", errno.EHOSTUNREACH, 0.02),
+    CallFault("write_out", errno.EHOSTUNREACH, 0.02),
+    CallFault("write_out", errno.ENOBUFS, 0.02),
+    CallFault("connect", errno.EHOSTUNREACH, 0.1),
+    CallFault("fallocate", errno.ENOSPC),
 )
 
 
@@ -73,6 +78,9 @@
     last_signals: Sequence[signal.Signals]
     crowd: int
     drains: bool
+    upgrade: bool
+    memory_mb: int
+    sockets: int
 
 
 def draw_plan(rng: random.Random) -> Plan:
@@ -91,6 +99,11 @@
         ),
         crowd=rng.choice((0, CROWD)),
         drains=rng.random() < 0.5,
+        upgrade=(upgrade := rng.random() < 0.4),
+        # The two processes of an upgrade share the limits.
+        memory_mb=64 if upgrade else 32,
+        # With 256, a crowd fills the places of clients, and idle connections are closed for new ones.
+        sockets=512 if upgrade else rng.choice((256, 512)),
     )
 
 
@@ -107,6 +120,21 @@
             node.process.send_signal(signal.SIGCONT)
 
 
+async def upgrade_later(node: FaultyNode) -> None:
+    """Start a new process beside the old one in the middle of the faults."""
+    await asyncio.sleep(UPGRADE_AFTER_S)
+    await node.upgrade()
+
+
+async def peak_memory_bytes(node: FaultyNode) -> int:
+    """Return the most memory of all processes until the newest one has ended."""
+    peak = 0
+    while not node.ending:
+        peak = max(peak, node.memory_bytes())
+        await asyncio.sleep(MEMORY_INTERVAL_S)
+    return peak
+
+
 async def misbehave(address: tuple[str, int], rng: random.Random, until: float) -> None:
     """Connect, send something that is not served or not complete, and leave, again and again."""
     while time.monotonic() < until:
@@ -128,10 +156,10 @@
         self._rows = [row(chr(ord("a") + i), server.address) for i, server in enumerate(node.servers)]
         self._draining: int | None = None
         self._generation = 1
-        self._watch: asyncio.StreamWriter | None = None
+        self._watches: list[asyncio.StreamWriter] = []
 
     async def serve(self, until: float) -> None:
-        """Tell the list on each watch that the node opens, and whenever it changes."""
+        """Tell the list on each watch that a process of the node opens, and whenever it changes."""
         watching = asyncio.create_task(self._take_watches())
         while time.monotonic() < until:
             others = [index for index in range(len(self._rows)) if index != self._draining]
@@ -146,20 +174,22 @@
 
     async def _take_watches(self) -> None:
         while True:
-            self._watch = await self._node.discovery.watches.get()
+            self._watches.append(await self._node.discovery.watches.get())
             self._tell()
 
     def _tell(self) -> None:
-        """Write the list to the present watch: what is written counts as told."""
+        """Write the list to all watches: what is written counts as told."""
         lifecycles = {self._draining: "DRAINING"}
         entries = [
             {**each, "lifecycle": lifecycles.get(index, "SERVING")} for index, each in enumerate(self._rows)
         ]
-        if self._watch is not None:
+        self._watches = [watch for watch in self._watches if not watch.is_closing()]
+        for watch in self._watches:
             with contextlib.suppress(RuntimeError):
-                send_line(self._watch, listing(self._generation, *entries))
-        told = None if self._draining is None else (f"s{self._draining}", time.monotonic())
-        self._node.record.draining = told if self._watch is not None else None
+                send_line(watch, listing(self._generation, *entries))
+        told_at = max(time.monotonic(), self._node.news_count_from)
+        told = None if self._draining is None else (f"s{self._draining}", told_at)
+        self._node.record.draining = told if self._watches else None
 
 
 async def shut_down(node: FaultyNode, plan: Plan, rng: random.Random) -> None:
@@ -175,7 +205,6 @@
         await asyncio.wait_for(node.process.wait(), kill_at - time.monotonic())
     except TimeoutError:
         node.process.kill()
-    node.ending = True
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -192,16 +221,30 @@
             leave_share=plan.leave_share,
             deadline_s=REQUEST_DEADLINE_FRACTION * plan.longest_deadline_s,
             longest_deadline_s=plan.longest_deadline_s,
+            inherited=plan.upgrade,
+            memory_mb=plan.memory_mb,
+            sockets=plan.sockets,
         ) as node:
+            peak = asyncio.create_task(peak_memory_bytes(node))
             until = time.monotonic() + FAULTS_S
             others = [misbehave(node.address, rng, until) for _ in range(plan.crowd)]
             if plan.drains:
                 others.append(DrainingServers(node, rng).serve(until))
+            if plan.upgrade:
+                others.append(upgrade_later(node))
             await asyncio.gather(disturb(node, plan, rng), *others)
-            await shut_down(node, plan, rng)
+            if plan.upgrade:
+                # The platform holds the clients' socket on, so the last process is not told to end here.
+                await node.traffic.stop()
+            else:
+                await shut_down(node, plan, rng)
+            node.ending = True
             found = await node.judge()
-            print(seed, plan, dict(node.record.statuses()), "exit", node.process.returncode, found)
+            peak_mb = await peak / 1e6
+            end = f"exit {node.process.returncode}, {peak_mb:.1f} MB"
+            print(seed, plan, dict(node.record.statuses()), end, found)
             assert found == []
+            assert peak_mb < plan.memory_mb
             assert any(map(node.faults.injected, plan.active_faults))
 
     run(main())
