Store changes of an endpoint list only together with the list

The next process took one draining server for the whole list and was never ready. An empty line of a polled list did the same with no server. Cause: the list that the platform passes was used and not recorded; changes were applied to nothing. Change: the list that a node starts with is recorded first, unless it is stored already; a change without a list is ignored when it is read, so directories of earlier versions are no list; of two lists of one version that of the configuration is used, and one without a ready endpoint gives way to one with some.

--- a/crowpost/node/configuration.py
+++ b/crowpost/node/configuration.py
@@ -98,6 +98,10 @@
     except (SettingsError, InvalidSettingsError) as error:
         raise ConfigError(str(error)) from error
     naming = Naming(_name_list(settings_raw, "azs"), _name_list(settings_raw, "models"))
+    if environment.get("NODE_STATE"):
+        from crowpost.node.state.records import pack_instance
+
+        naming.pack = pack_instance
     limits = _required_field(raw, "limits", dict)
     return Config(
         name=environment.get("NODE_NAME") or _required_field(raw, "name", str),
--- a/crowpost/node/discovery/endpoint_list.py
+++ b/crowpost/node/discovery/endpoint_list.py
@@ -34,6 +34,10 @@
     # The entries as discovery sent them, packed, where they are kept.
     packed: list[bytes] = field(default_factory=list)
 
+    def has_ready(self) -> bool:
+        """Return whether any endpoint accepts requests."""
+        return any(entry.readiness is Readiness.READY for entry in self.entries)
+
     def event(self, *, cached: bool = False) -> EndpointList:
         """Return the event for the decision module."""
         kind = ListKind.FULL if self.complete else ListKind.CHANGES
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -225,7 +225,7 @@
     def _open_state(self, known: Listing | None) -> Listing | None:
         """Open the state directory, if one is configured.
 
-        Return the newer of the endpoint lists in the state directory and in the configuration.
+        Return the endpoint list of the state directory, or that of the configuration if it supersedes it.
         """
         if self._config.state is None:
             return known
@@ -247,9 +247,11 @@
         if self._state_writer.state.evacuated:
             log.info("the node was evacuated and stays so until rejoin")
             self._drain.evacuate()
-        if stored is None or (known is not None and known.version > stored.version):
-            return known
-        return stored
+        if stored is not None and not (known is not None and _supersedes(known, stored)):
+            return stored
+        if known is not None:
+            self._state_writer.record_initial_list(known.version, known.packed)
+        return known
 
     async def _start_membership(self) -> None:
         """Join the cluster if membership is configured; otherwise no membership module is imported."""
@@ -413,3 +415,11 @@
         if self._state_writer is not None:
             # Close the state at once, as another process of this node may be waiting for its directory.
             self._state_writer.close()
+
+
+def _supersedes(known: Listing, stored: Listing) -> bool:
+    """Return whether the list of the configuration is used, and not the one of the state directory.
+
+    It is if it is not older, or if it has endpoints that serve and the other has none.
+    """
+    return known.version >= stored.version or (known.has_ready() and not stored.has_ready())
--- a/crowpost/node/state/node_state.py
+++ b/crowpost/node/state/node_state.py
@@ -72,6 +72,9 @@
                 self.incarnation = number
 
     def _apply_list(self, part: EndpointListPart) -> None:
+        """Apply a part of a list or of a change of it; a change of a list that is not held is no list."""
+        if not part.reset and self.staged is None and not self.generation:
+            return
         if part.reset:
             self.staged = {}
         elif self.staged is None:
--- a/crowpost/node/state/writer.py
+++ b/crowpost/node/state/writer.py
@@ -227,6 +227,14 @@
         """Record a list from discovery or a change of it, whose endpoints are packed."""
         self.record_list(reset, generation, PackedInstances(packed))
 
+    def record_initial_list(self, generation: int, packed: Sequence[bytes]) -> None:
+        """Record the complete list that the node starts with, unless it is stored already.
+
+        Changes that follow can be stored only together with the list that they change.
+        """
+        if generation != self.state.generation or sorted(packed) != sorted(self.state.instances.values()):
+            self.record_packed_list(True, generation, packed)
+
     def _too_much_waits(self) -> bool:
         return (
             len(self._waiting_list_parts) > MAX_WAITING_LIST_PARTS
--- a/tests/node/state/helpers.py
+++ b/tests/node/state/helpers.py
@@ -27,10 +27,20 @@
 
 def write_malformed_list(path: Path) -> None:
     """Create a store of n0 whose second record is a list with an endpoint that lacks its lifecycle."""
+    _write_records(path, ("drain", False), ("list", True, 7, [{"instanceId": "a"}], False))
+
+
+def write_change_without_list(path: Path, lifecycle: str) -> None:
+    """Create a store of n0 that holds a change to a list, but not the list."""
+    entry = {"instanceId": "s", "hostPort": "127.0.0.1:1", "lifecycle": lifecycle}
+    _write_records(path, ("list", False, 42, [entry], False))
+
+
+def _write_records(path: Path, *records: tuple[Any, ...]) -> None:
     disk = Disk(path, lock=True)
     try:
         store = Store(recover_disk(disk, "n0"), 0.0)
-        for record in (("drain", False), ("list", True, 7, [{"instanceId": "a"}], False)):
+        for record in records:
             store.append(msgpack.packb(record), Durability.ACKNOWLEDGED, 0.0)
         job = store.next_job(0.0)
         assert job is not None and execute_job(disk, job).error is None
--- a/tests/node/state/test_writer.py
+++ b/tests/node/state/test_writer.py
@@ -23,7 +23,12 @@
 from crowpost.storage.model import Durability
 from crowpost.storage.runner import inspect_store
 from tests.node.processes import logged_address, node_configuration, node_environment, start_node
-from tests.node.state.helpers import config, until, write_malformed_list
+from tests.node.state.helpers import (
+    config,
+    until,
+    write_change_without_list,
+    write_malformed_list,
+)
 from tests.node.stubs import (
     WAIT_TIMEOUT_S,
     StubDiscovery,
@@ -186,7 +191,8 @@
         ):
             assert running.node._state_writer is not None
             writer = running.node._state_writer
-            await until(lambda: writer.metrics()["state_records"])
+            # The list that the node starts with is written too.
+            await until(lambda: writer.metrics()["state_records"] and not writer._waiting_list_parts)
             assert writer._runner is not None
             writer._runner.append(Evacuation(False).encode(), Durability.DELAYED)
             writer._runner.write_snapshot(pieces())
@@ -252,6 +258,58 @@
     run(main())
 
 
+def stored_lifecycles(path: Path) -> tuple[int, dict[str, str]]:
+    """Return the version and the endpoints, with their lifecycles, of the list in a state directory."""
+    state = read_node_state(inspect_store(path))
+    return state.generation, {each["instanceId"]: each["lifecycle"] for each in state.decoded_instances()}
+
+
+@pytest.mark.parametrize("kind", ["pushed", "on_request"])
+@pytest.mark.parametrize("change", ["drain", "empty line"])
+def test_changes_are_stored_together_with_the_list_that_they_change(
+    kind: str, change: str, tmp_path: Path
+) -> None:
+    """Guards against a node that has forgotten its servers after a restart, and is never ready."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server:
+            rows = [row("a", server.address), row("b", server.address)]
+            async with running_node(*rows, registryMode=kind, state=config(tmp_path)) as running:
+                watch = await running.discovery.watch()
+                if change == "drain":
+                    send_line(watch, listing(2, row("b", server.address, "DRAINING"), reset=False))
+                else:
+                    send_line(watch, b"")
+                writer = running.node._state_writer
+                assert writer is not None
+                expected = 2 if change == "drain" else 1
+                await until(lambda: writer.metrics()["state_generation"] == expected)
+                await until(lambda: not writer.metrics()["state_unkept"])
+            lifecycles = {"a": "SERVING", "b": "DRAINING" if change == "drain" else "SERVING"}
+            assert stored_lifecycles(tmp_path / "state") == (expected, lifecycles)
+            async with running_node(known=False, registryMode=kind, state=config(tmp_path)) as running:
+                assert running.node.ready()
+
+    run(main())
+
+
+@pytest.mark.parametrize("lifecycle", ["DRAINING", "SERVING"])
+def test_a_directory_with_a_change_of_a_list_that_it_does_not_hold_is_no_list(
+    lifecycle: str, tmp_path: Path
+) -> None:
+    """Guards against a directory of an earlier version, whose list has only what had changed."""
+    write_change_without_list(tmp_path / "state", lifecycle)
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"served")]) as server:
+            async with running_node(row("a", server.address), state=config(tmp_path)) as running:
+                assert running.node.ready()
+                assert (await (await running.client()).ask("look")).body == b"served"
+            assert stored_lifecycles(tmp_path / "state") == (1, {"a": "SERVING"})
+
+    run(main())
+
+
 @pytest.mark.parametrize("ends_at_once", [False, True])
 def test_the_last_of_many_long_lists_is_stored(ends_at_once: bool, tmp_path: Path) -> None:
     """Guards against a list that is neither in the log nor in a snapshot."""
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -23,6 +23,7 @@
 from crowpost.node.configuration import Config, Limits, flat
 from crowpost.node.discovery.endpoint_list import Naming
 from crowpost.node.node import Node
+from crowpost.node.state.records import pack_instance
 from crowpost.storage.config import StateConfig
 
 HOST = "127.0.0.1"
@@ -390,7 +391,7 @@
     **changes: Any,
 ) -> AsyncIterator[RunningNode]:
     """Run a node that knows these servers; `changes` go into its settings."""
-    naming = Naming(("hall",), ("std",))
+    naming = Naming(("hall",), ("std",), pack_instance if state is not None else None)
     async with StubDiscovery() as discovery:
         host, _, port = discovery.address.rpartition(":")
         config = Config(
