--- a/crowpost/node/attempt.py
+++ b/crowpost/node/attempt.py
@@ -20,6 +20,10 @@
 
 log = logging.getLogger(__name__)
 
+# What a server is told is the time that is left once the request has arrived, so long after it was written.
+TRANSFER_S = 0.02
+MIN_TOLD_DEADLINE_S = 0.001
+
 
 class AttemptSender:
     """Starts attempts, and holds the objects that all of them share."""
@@ -135,7 +139,9 @@
     def _render(self, remaining_s: float) -> bytes:
         """Return the bytes of the request; the body only if it is not streamed."""
         pending = self._pending
-        deadline_s = remaining_s if self._upload is None else pending.budget_ms / 1000.0
+        deadline_s = pending.budget_ms / 1000.0
+        if self._upload is None:
+            deadline_s = max(MIN_TOLD_DEADLINE_S, remaining_s - TRANSFER_S)
         return b"%sX-Deadline: %.3f\r\n\r\n%s" % (pending.head, deadline_s, pending.message.body)
 
     def _may_write(self) -> bool:
--- a/tests/faults/test_fault_soak.py
+++ b/tests/faults/test_fault_soak.py
@@ -115,9 +115,12 @@
             node.faults.switch(rng.random() < 0.7, index, value=rng.choice(WALL_CLOCK_STEPS_MS))
         await asyncio.sleep(STEP_S * (1.0 + rng.random()))
         if plan.holds:
-            node.process.send_signal(signal.SIGSTOP)
+            # An upgrade may begin meanwhile.
+            process = node.process
+            process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(HOLD_S * rng.random())
-            node.process.send_signal(signal.SIGCONT)
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
 
 
 async def upgrade_later(node: FaultyNode) -> None:
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -9,6 +9,7 @@
 import pytest
 
 from crowpost.decision_api import Action, AttemptEnded, Event, RequestAbandoned
+from crowpost.node import attempt
 from crowpost.node.discovery.client import MAX_BACKOFF_S, MIN_BACKOFF_S
 from crowpost.node.downstream.connection import ClientConnection
 from crowpost.node.downstream.timeouts import FIRST_BYTE_TIMEOUT_S
@@ -710,3 +711,21 @@
             assert [e.load for e in events if isinstance(e, AttemptEnded)] == [load]
 
     run(main())
+
+
+def test_a_server_is_told_less_time_than_is_left_by_the_time_of_the_transfer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a deadline that is too late by the time in which the request reaches the server."""
+    transfer_s = 0.25
+    monkeypatch.setattr(attempt, "TRANSFER_S", transfer_s)
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, running_node(row("a", server.address)) as running:
+            for deadline_s in (1.0, 0.5 * transfer_s):
+                await (await running.client()).ask("book", deadline=f"{deadline_s}")
+            told = [float(each.headers["x-deadline"]) for each in server.received]
+            assert told[0] <= 1.0 - transfer_s
+            assert told[1] == attempt.MIN_TOLD_DEADLINE_S
+
+    run(main())
