--- a/crowpost/node/configuration.py
+++ b/crowpost/node/configuration.py
@@ -25,6 +25,8 @@
 # node that required at least 64 MB did not start on a machine with 48 MB.
 _MIN_SOCKETS = 16
 _SEED_MASK = 2**64 - 1
+# The keys by which an entry of an endpoint list is recognised.
+ENDPOINT_KEYS = frozenset({"instanceId", "hostPort"})
 
 
 class ConfigError(NodeError):
@@ -143,10 +145,14 @@
 
 
 def read_file(path: str) -> dict[str, Any]:
-    """Return the JSON object in a configuration file; raise ConfigError if there is none."""
+    """Return the JSON object in a configuration file; raise ConfigError if there is none.
+
+    The entries of its endpoint list are JSON texts: thousands of dictionaries would take megabytes, of which
+    the process would keep a part.
+    """
     try:
         with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
+            raw = json.load(file, object_hook=_pack_endpoint)
     except (OSError, ValueError) as error:
         raise ConfigError(f"NODE_CONFIG: {path} cannot be read: {error}") from error
     if not isinstance(raw, dict):
@@ -154,6 +160,11 @@
     return raw
 
 
+def _pack_endpoint(value: dict[str, Any]) -> dict[str, Any] | bytes:
+    """Return the JSON text of an entry of an endpoint list; any other object stays as it is."""
+    return json.dumps(value).encode() if value.keys() >= ENDPOINT_KEYS else value
+
+
 def _required_field(raw: Mapping[str, Any], name: str, kind: type) -> Any:
     value = raw.get(name)
     if not isinstance(value, kind):
@@ -276,11 +287,19 @@
     if raw is None:
         return None
     try:
-        return naming.read(raw)
+        return naming.read(_with_unpacked_endpoints(raw))
     except ListError as error:
         raise ConfigError(f"known: {error}") from error
 
 
+def _with_unpacked_endpoints(raw: Any) -> Any:
+    """Return an endpoint list whose packed entries are unpacked one at a time, as they are read."""
+    if not (isinstance(raw, dict) and isinstance(raw.get("instances"), list)):
+        return raw
+    unpacked = (json.loads(item) if isinstance(item, bytes) else item for item in raw["instances"])
+    return {**raw, "instances": unpacked}
+
+
 def _conn_idle_timeout(values: Mapping[str, str]) -> float:
     text = values.get("policyLimits.connIdleMs", str(DEFAULT_CONN_IDLE_MS))
     try:
