Begin an epoch of its own with each restore of a publisher

Cause: the epoch was counted up from the backup, which does not know the epochs after it. Left: a machine whose clock was set back behind the first restore.

--- a/crowpost/config_feed/publication_log.py
+++ b/crowpost/config_feed/publication_log.py
@@ -107,12 +107,13 @@
 
     # ------------------------------------------------------------ after a restore
 
-    def begin_epoch(self) -> bytes:
+    def begin_epoch(self, at_least: int = 0) -> bytes:
         """Begin the next epoch and return its record; documents of a later epoch are newer than all others.
 
-        Called when the state was restored from a backup.
+        Called when the state was restored from a backup.  at_least: the number of the epoch, if it is higher
+        than the next one: a backup does not know the epochs that were begun after it.
         """
-        self.epoch += 1
+        self.epoch = max(self.epoch + 1, at_least)
         return bytes(msgpack.packb([EPOCH_RECORD, self.epoch]))
 
     def adopt(self, document: Document) -> list[bytes]:
--- a/crowpost/config_feed/publisher.py
+++ b/crowpost/config_feed/publisher.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
+import time
 from contextlib import suppress
 
 from crowpost.config_feed.configuration import FeedConfig
@@ -22,6 +24,18 @@
 CLOSE_TIMEOUT_S = 2.0  # limit for waiting until publications in progress are durable
 
 
+# An epoch that begins with a restore holds the time in ms and so many random bits: less than 2**63 in all.
+EPOCH_RANDOM_BITS = 20
+
+
+def restored_epoch() -> int:
+    """Return an epoch that no other restore begins, and that is higher than those of earlier restores.
+
+    A backup may be restored more than once, also where nothing is left that knows the epochs of before.
+    """
+    return (time.time_ns() // 1_000_000 << EPOCH_RANDOM_BITS) | secrets.randbits(EPOCH_RANDOM_BITS)
+
+
 class Publisher:
     """Accepts documents, and acknowledges and announces each of them only once it is durable.
 
@@ -59,7 +73,7 @@
         Return the bound address.
         """
         if self._restored:
-            self._append(self.log.begin_epoch())
+            self._append(self.log.begin_epoch(restored_epoch()))
         for document in self.log.documents():
             self.transport.announce(document)
         bound = await self.transport.listen()
--- a/tests/config_feed/test_processes.py
+++ b/tests/config_feed/test_processes.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import json
+import shutil
 import signal
 from pathlib import Path
 from typing import Any
@@ -13,7 +14,7 @@
 
 from crowpost.cli.feed_status import collect_statuses, summarize
 from crowpost.config_feed.configuration import FeedConfig
-from crowpost.config_feed.documents import Document
+from crowpost.config_feed.documents import Document, DocumentHeader
 from crowpost.config_feed.errors import FeedError
 from crowpost.config_feed.messages import Message, PublishAccepted, PublishRejected, PublishRequest
 from crowpost.config_feed.publisher import Publisher
@@ -214,6 +215,33 @@
     run(scenario())
 
 
+def test_each_restore_of_one_backup_begins_an_epoch_that_is_newer_than_all_before(tmp_path: Path) -> None:
+    """Guards against two bodies with one version, and against accepted documents that no node applies."""
+    options: dict[str, Any] = {"home_region": "north", "publishers": {"north": "p"}, "listen": f"{HOST}:0"}
+
+    async def publish_once(directory: Path, body: bytes, restored: bool) -> DocumentHeader:
+        config = FeedConfig(CLUSTER, "p", "publisher", "north", directory=directory, **options)
+        publisher = Publisher(config, lambda scope, body: None, restored=restored)
+        address = await publisher.start()
+        request = PublishRequest(1, "all", body, "ann", "why not")
+        answer = await request_reply(address, request, CLUSTER, WAIT_TIMEOUT_S)
+        await publisher.close()
+        assert isinstance(answer, PublishAccepted)
+        return answer.header
+
+    async def scenario() -> None:
+        before = await publish_once(tmp_path / "backup", b"0", restored=False)
+        headers = [before]
+        for number in range(1, 4):
+            copy = tmp_path / f"restored-{number}"
+            shutil.copytree(tmp_path / "backup", copy)
+            headers.append(await publish_once(copy, b"%d" % number, restored=True))
+        epochs = [header.epoch for header in headers]
+        assert epochs == sorted(set(epochs))
+
+    run(scenario())
+
+
 def test_publisher_with_a_full_disk_rejects_requests_and_still_serves_documents(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
