Harness: let no client go on once a test has ended

Seen: test_a_crowd_of_new_connections... never ended (20 minutes, then 2 of 2). Traced by faulthandler to the cancelling of all tasks: a client whose connection was refused in the moment of its cancel went on asking a dead node.

--- a/tests/faults/harness.py
+++ b/tests/faults/harness.py
@@ -226,7 +226,10 @@
             longest_deadline_s,
         )
         stack.callback(node.kill_all)
+        # A client whose connection is refused just when it is cancelled would go on for ever.
+        stack.callback(traffic.end)
         yield node
+        traffic.end()
         assert node.ending or node.process.returncode is None, "the node has ended"
         for each in node.processes:
             assert "Traceback" not in await each.end()
--- a/tests/faults/traffic.py
+++ b/tests/faults/traffic.py
@@ -161,6 +161,10 @@
         self.stopping = True
         await asyncio.gather(*self._tasks)
 
+    def end(self) -> None:
+        """Let no client begin another request."""
+        self.stopping = True
+
     async def _ask_in_turn(self, request_class: str, *, fresh: bool) -> None:
         client: Client | None = None
         while not self.stopping:
