--- a/crowpost/node/discovery/endpoint_list.py
+++ b/crowpost/node/discovery/endpoint_list.py
@@ -38,6 +38,13 @@
         """Return whether any endpoint accepts requests."""
         return any(entry.readiness is Readiness.READY for entry in self.entries)
 
+    def supersedes(self, stored: Listing) -> bool:
+        """Return whether this list of the configuration is used, and not the one of the state directory.
+
+        It is if it is not older, or if it has endpoints that serve and the other has none.
+        """
+        return self.version >= stored.version or (self.has_ready() and not stored.has_ready())
+
     def event(self, *, cached: bool = False) -> EndpointList:
         """Return the event for the decision module."""
         kind = ListKind.FULL if self.complete else ListKind.CHANGES
--- a/crowpost/node/node.py
+++ b/crowpost/node/node.py
@@ -33,6 +33,7 @@
 from crowpost.node.metrics import Metrics
 from crowpost.node.reading import ReadScheduler
 from crowpost.node.request_table import RequestTable
+from crowpost.node.resource_shares import divide
 from crowpost.node.sent_requests import open_sent_requests, slots_for
 from crowpost.node.upstream.pool import ConnectionPool
 
@@ -52,15 +53,6 @@
 # the longest pause, which is half of this interval, must be over.
 MAX_LIST_POLL_MS = 5_200.0
 
-# Fractions of all descriptors; the rest remains for new connections, discovery and the process itself.
-CLIENT_SOCKET_FRACTION = 0.4
-ENDPOINT_SOCKET_FRACTION = 0.45
-# Dozens of clients of the admin server may hold connections without sending anything.
-ADMIN_SOCKET_FRACTION = 1 / 12
-MIN_ADMIN_CONNECTIONS = 2
-# Fraction of the limits for each of the two processes that form one node during an upgrade.
-SHARED_LIMIT_FRACTION = 0.5
-
 # Maximum wait for the first list from discovery before an inherited listening socket is accepted from.
 FIRST_LIST_TIMEOUT_S = 1.0
 
@@ -82,11 +74,7 @@
         self._inherited_socket: socket.socket | None = None
         if config.accept_fd is not None:
             self._inherited_socket = adopt_listening_socket(config.accept_fd)
-        limit_fraction = 1.0 if self._inherited_socket is None else SHARED_LIMIT_FRACTION
-        sockets = int(limit_fraction * config.limits.sockets)
-        max_clients = int(CLIENT_SOCKET_FRACTION * sockets)
-        max_upstream = int(ENDPOINT_SOCKET_FRACTION * sockets)
-        memory_limit = limit_fraction * config.limits.memory_mb * 1_000_000
+        shares = divide(config.limits, shared=self._inherited_socket is not None)
         self._metrics = Metrics([request_class.name for request_class in config.settings.classes])
         self._balancer = self._make_balancer()
         host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
@@ -95,7 +83,7 @@
         self._pool = ConnectionPool(
             connect_timeout_s=config.settings.connect_timeout_ms / 1000.0,
             idle_timeout_s=config.conn_idle_ms / 1000.0,
-            max_connections=max_upstream,
+            max_connections=shares.endpoint_connections,
             probe_request=health_check if config.settings.may_check_health else None,
             reads=reads,
         )
@@ -103,18 +91,18 @@
             max(max(each.deadline_ms, each.idempotency_window_ms) for each in config.settings.classes),
             config.shared_directory,
             config.name,
-            slots_for(memory_limit),
+            slots_for(shares.memory_bytes),
         )
-        budget = ByteBudget(budget_bytes(memory_limit, max_clients + max_upstream))
-        self._max_connections = max_clients + max_upstream
-        self._memory = MemoryMonitor(budget, memory_limit, self._unopened_connections)
+        budget = ByteBudget(budget_bytes(shares.memory_bytes, shares.connections))
+        self._max_connections = shares.connections
+        self._memory = MemoryMonitor(budget, shares.memory_bytes, self._unopened_connections)
         self._requests = RequestTable(config.settings, self._clock, self._events, host, sent_requests)
         self._listener = Listener(
             config.settings,
             self._requests.add,
             self.ready,
             self._metrics,
-            max_connections=max_clients,
+            max_connections=shares.client_connections,
             budget=budget,
             reads=reads,
         )
@@ -126,7 +114,7 @@
             on_finished=self.stop,
         )
         self._requests.time_left_s = self._drain.time_left_s
-        self._admin = self._make_admin_server(sockets)
+        self._admin = self._make_admin_server(shares.admin_connections)
         self._discovery = self._make_discovery_client(reads)
         self._connect_dispatcher(health_check)
 
@@ -139,7 +127,7 @@
         list_poll_ms = min(settings.list_poll_ms, MAX_LIST_POLL_MS)
         return Balancer(replace(settings, list_poll_ms=list_poll_ms), self._config.seed)
 
-    def _make_admin_server(self, sockets: int) -> AdminServer:
+    def _make_admin_server(self, max_connections: int) -> AdminServer:
         return AdminServer(
             {
                 b"/api/ready": AdminAction(b"GET", lambda: AdminResponse(200 if self.ready() else 503)),
@@ -147,7 +135,7 @@
                 b"/api/evacuate": AdminAction(b"POST", self._evacuate),
                 b"/api/rejoin": AdminAction(b"POST", self._rejoin),
             },
-            max_connections=max(MIN_ADMIN_CONNECTIONS, int(ADMIN_SOCKET_FRACTION * sockets)),
+            max_connections=max_connections,
         )
 
     def _make_discovery_client(self, reads: ReadScheduler) -> DiscoveryClient:
@@ -247,7 +235,7 @@
         if self._state_writer.state.evacuated:
             log.info("the node was evacuated and stays so until rejoin")
             self._drain.evacuate()
-        if stored is not None and not (known is not None and _supersedes(known, stored)):
+        if stored is not None and not (known is not None and known.supersedes(stored)):
             return stored
         if known is not None:
             self._state_writer.record_initial_list(known.version, known.packed)
@@ -415,11 +403,3 @@
         if self._state_writer is not None:
             # Close the state at once, as another process of this node may be waiting for its directory.
             self._state_writer.close()
-
-
-def _supersedes(known: Listing, stored: Listing) -> bool:
-    """Return whether the list of the configuration is used, and not the one of the state directory.
-
-    It is if it is not older, or if it has endpoints that serve and the other has none.
-    """
-    return known.version >= stored.version or (known.has_ready() and not stored.has_ready())
--- a/tests/faults/test_accept.py
+++ b/tests/faults/test_accept.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from crowpost.node.node import CLIENT_SOCKET_FRACTION, ENDPOINT_SOCKET_FRACTION
+from crowpost.node.resource_shares import CLIENT_SOCKET_FRACTION, ENDPOINT_SOCKET_FRACTION
 from tests.faults.harness import SOCKETS, faulty_node
 from tests.faults.system_calls import CallFault
 from tests.node.stubs import WAIT_TIMEOUT_S, Client, run
--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -30,7 +30,7 @@
 )
 from crowpost.node.http.message import MAX_BODY, Message
 from crowpost.node.http.parser import MessageParser
-from crowpost.node.node import CLIENT_SOCKET_FRACTION, ENDPOINT_SOCKET_FRACTION
+from crowpost.node.resource_shares import CLIENT_SOCKET_FRACTION, ENDPOINT_SOCKET_FRACTION
 from tests.node.processes import (
     deploy,
     logged_address,
